--- /dev/null
+++ b/libs/query/include/query/query.h
@@ -0,0 +1,356 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/base.h"
+#include "settings/settings.h"
+
+//! @brief Request path of a node as a deterministic core: events in, actions out.
+//!
+//! The core performs no input or output and reads no clock. Functions are called from one thread.
+//! The caller of these functions performs the actions in order and feeds the results back.
+namespace arbutusgrade {
+
+//! @brief Number of an attempt; unique for the life of one incarnation, never reused.
+using AttemptId = std::uint64_t;
+
+//! @brief Number of a store call; unique for the life of one incarnation.
+using StoreCallId = std::uint64_t;
+
+//! @brief Handle by which the shell knows the caller's connection; unique, never reused.
+using CallerId = std::uint64_t;
+
+//! @brief W3C trace context of a request; all zero if there is none.
+struct TraceContext
+{
+    std::uint64_t m_traceHigh = 0;
+    std::uint64_t m_traceLow = 0;
+    std::uint64_t m_parentSpan = 0;
+    bool m_sampled = false;
+};
+
+//! @brief A checked request of a caller.
+struct CallerRequest
+{
+    CallerId m_caller = 0;
+    std::string m_requestId; //!< Chosen by the caller; the same on each re-send.
+    std::string m_kind;
+    std::string m_service; //!< Single and Once: the service; empty for any (hash of request id).
+    std::optional<Duration> m_timeout;            //!< Upper limit is the kind's deadline.
+    int m_sendNumber = 1;                         //!< 1 on the first send, higher on re-sends.
+    std::shared_ptr<const std::string> m_payload; //!< JSON text, opaque to the core.
+    TraceContext m_trace;
+    std::string m_team;
+};
+
+//! @brief Final state of a request as told to the caller.
+enum class Outcome { Complete, Partial, NotRun, OutcomeUnknown, Failed };
+
+//! @brief Why a shard is lacking, or why a request was refused or failed.
+enum class Reason {
+    None,
+    Deadline,
+    NoReplica,
+    SnapshotGone,
+    Overload,
+    TargetError,
+    Quarantined,
+    StoreUnavailable,
+    RequestIdReused, //!< Same request id with another payload.
+    InProgress,      //!< Another send of the same request id holds the claim.
+    UnknownKind,
+    UnknownService,
+    ShuttingDown,
+    QuotaExceeded,
+};
+
+//! @brief Names as they appear in answers, for example "outcome-unknown" and "no-replica".
+std::string_view outcomeName(Outcome outcome) noexcept;
+std::string_view reasonName(Reason reason) noexcept;
+
+//! @brief One lacking shard of an answer.
+struct LackingShard
+{
+    std::string m_service;
+    Reason m_reason = Reason::None;
+};
+
+//! @brief Result of one merged shard.
+struct ShardResult
+{
+    std::string m_service;
+    std::string m_entries; //!< JSON array text from the target.
+};
+
+//! @brief The whole answer to one request.
+struct CallerAnswer
+{
+    CallerId m_caller = 0;
+    std::string m_requestId;
+    Outcome m_outcome = Outcome::Failed;
+    Reason m_reason = Reason::None;
+    std::optional<Snapshot> m_snapshot;
+    std::vector<ShardResult> m_included;
+    std::vector<LackingShard> m_lacking;
+    TraceContext m_trace;
+};
+
+//! @brief Load of a target as it reported it with a reply.
+struct TargetLoad
+{
+    int m_running = 0;
+    int m_queued = 0;
+    int m_slots = 0;
+};
+
+//! @brief How a target ended an attempt.
+enum class AttemptStatus {
+    Ok,
+    Shed,         //!< Refused before start.
+    Draining,     //!< Refused before start because the target is leaving.
+    SnapshotGone, //!< Refused before start; the reply lists the snapshots held.
+    Error,        //!< Started and failed.
+};
+
+//! @brief Reply of a target, already checked for form. Views nothing of the socket.
+struct AttemptReply
+{
+    AttemptId m_attempt = 0;
+    std::string m_requestId; //!< As echoed by the target.
+    std::string m_service;   //!< As echoed by the target.
+    AttemptStatus m_status = AttemptStatus::Error;
+    Snapshot m_snapshot;
+    std::vector<Snapshot> m_holdings;
+    std::optional<TargetLoad> m_load;
+    bool m_draining = false;
+    std::string m_startId; //!< Changes at each start of the target.
+    std::string m_entries; //!< JSON array text.
+};
+
+//! @brief Why an attempt has no reply.
+enum class AttemptFailure {
+    NotSent,        //!< No byte of the request left this node.
+    ConnectionLost, //!< The connection ended after bytes had left.
+    BadReply,       //!< The reply was malformed or did not match.
+};
+
+//! @brief Result of a store call.
+enum class StoreStatus { Ok, NotFound, Conflict, Unavailable };
+
+struct StoreReply
+{
+    StoreCallId m_call = 0;
+    StoreStatus m_status = StoreStatus::Unavailable;
+    std::string m_value;         //!< Current value on Ok reads and on Conflict.
+    std::int64_t m_revision = 0; //!< Revision of the key; 0 if it does not exist.
+};
+
+//! @brief What a probe, the VM list or a peer says of a target. Hints only, except draining.
+struct TargetObservation
+{
+    std::string m_target;
+    std::optional<bool> m_reachable;
+    std::optional<bool> m_draining;
+    std::vector<Snapshot> m_holdings;
+    std::string m_startId;
+    std::optional<TargetLoad> m_load;
+};
+
+//! @brief A request fingerprint that crashed targets, shared between nodes.
+struct QuarantineNotice
+{
+    std::uint64_t m_fingerprint = 0;
+    int m_lostTargets = 0;
+    Duration m_remaining{0};
+};
+
+//! @brief Send the request of an attempt to a target.
+struct SendAttempt
+{
+    AttemptId m_attempt = 0;
+    std::string m_target; //!< Name in the settings; the address is there.
+    std::string m_service;
+    std::string m_requestId;
+    std::optional<Snapshot> m_snapshot; //!< Empty where the target may choose (Once and Single).
+    TimePoint m_deadline;
+    bool m_idempotent = true;
+    std::shared_ptr<const std::string> m_payload;
+    TraceContext m_trace; //!< Parent of the target's span is the span of this attempt.
+};
+
+//! @brief Tell a target that the result of an attempt is no longer wanted. Best effort.
+struct CancelAttempt
+{
+    AttemptId m_attempt = 0;
+    std::string m_target;
+};
+
+//! @brief Operation on the store.
+enum class StoreOperation { Get, CompareAndSwap };
+
+struct CallStore
+{
+    StoreCallId m_call = 0;
+    StoreOperation m_operation = StoreOperation::Get;
+    std::string m_key;
+    std::string m_value;
+    std::int64_t m_expectedRevision = 0; //!< 0 creates the key.
+    bool m_leased = false;               //!< The key ends with the node's current claim lease.
+    TimePoint m_deadline;
+};
+
+//! @brief Give the answer to the caller; exactly one for each submitted request.
+struct AnswerCaller
+{
+    CallerAnswer m_answer;
+};
+
+//! @brief A finished span: a request, an attempt or a store call.
+struct RecordSpan
+{
+    TraceContext m_trace;
+    std::uint64_t m_span = 0;
+    std::string m_name;
+    std::string m_peer; //!< Target, or empty.
+    TimePoint m_start;
+    TimePoint m_end;
+    bool m_keep = false; //!< Slow or incomplete: kept whatever the sampling says.
+    std::string m_status;
+};
+
+//! @brief A fact that peers must learn at once.
+struct ShareDrain
+{
+    std::string m_target;
+};
+
+struct ShareQuarantine
+{
+    QuarantineNotice m_notice;
+};
+
+using Action = std::variant<SendAttempt, CancelAttempt, CallStore, AnswerCaller, RecordSpan,
+                            ShareDrain, ShareQuarantine>;
+using ActionList = std::vector<Action>;
+
+//! @brief How the in-flight capacity of a target is divided between nodes.
+enum class SlotPolicy { Adaptive, StaticShare };
+
+//! @brief Faults in single decisions, for proving that runs notice them. None in production.
+enum class QueryMutant {
+    None,
+    MergeAnySnapshot,
+    RetryNonIdempotent,
+    IgnoreDrain,
+    CountShardTwice,
+    CoverageFromPlan,
+    AcceptCrossedReply,
+    ClaimNotNeeded,
+    ClaimLostMeansHeld,
+    NotRunAfterSend,
+    UnlimitedHedges,
+    IgnoreConnectionShare,
+    NoQuarantine,
+};
+
+struct QueryOptions
+{
+    std::string m_node; //!< Name of this node.
+    std::uint64_t m_incarnation = 1;
+    std::uint64_t m_seed = 1;
+    SlotPolicy m_slotPolicy = SlotPolicy::Adaptive;
+    QueryMutant m_mutant = QueryMutant::None;
+};
+
+//! @brief Counts since start, exported as metrics.
+struct QueryStatistics
+{
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_answers = 0;
+    std::array<std::uint64_t, 5> m_outcomes{}; //!< By Outcome.
+    std::uint64_t m_firstAttempts = 0;
+    std::uint64_t m_hedges = 0;
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_droppedReplies = 0; //!< Late, crossed or duplicated.
+    std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_queued = 0;   //!< Sub-requests waiting now.
+    std::uint64_t m_inFlight = 0; //!< Attempts in flight now.
+};
+
+//! @brief What the node believes of a target, for status pages.
+struct TargetView
+{
+    std::string m_target;
+    std::string m_service;
+    bool m_draining = false;
+    bool m_ejected = false;
+    int m_inFlight = 0;
+    int m_limit = 0;
+    int m_connectionShare = 0;
+    Duration m_latencyP95{0};
+};
+
+//! @brief State of the request path of one node; the definition is private to the library.
+struct QueryEngine;
+
+struct QueryEngineDeleter
+{
+    void operator()(QueryEngine *engine) const noexcept;
+};
+
+using QueryEnginePointer = std::unique_ptr<QueryEngine, QueryEngineDeleter>;
+
+//! @brief Creates an engine without settings; it refuses all requests until adoptSettings.
+QueryEnginePointer createQueryEngine(const QueryOptions &options);
+
+//! @brief Puts settings in force; state of targets that remain is kept. Requests in flight go on.
+void adoptSettings(QueryEngine &engine, TimePoint now, const Settings &settings,
+                   ActionList &actions);
+
+//! @brief Accepts a request. It is answered by exactly one AnswerCaller, possibly at once.
+void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &request,
+                   ActionList &actions);
+
+//! @brief Takes the reply of a target that the shell received for the named target.
+void handleAttemptReply(QueryEngine &engine, TimePoint now, std::string_view target,
+                        const AttemptReply &reply, ActionList &actions);
+
+//! @brief Takes the end of an attempt without a reply.
+void handleAttemptFailure(QueryEngine &engine, TimePoint now, AttemptId attempt,
+                          AttemptFailure failure, ActionList &actions);
+
+//! @brief Takes the result of a store call.
+void handleStoreReply(QueryEngine &engine, TimePoint now, const StoreReply &reply,
+                      ActionList &actions);
+
+//! @brief Takes knowledge of a target from a probe, the VM list or a peer.
+void observeTarget(QueryEngine &engine, TimePoint now, const TargetObservation &observation,
+                   ActionList &actions);
+
+//! @brief Takes a quarantine notice from a peer.
+void observeQuarantine(QueryEngine &engine, TimePoint now, const QuarantineNotice &notice,
+                       ActionList &actions);
+
+//! @brief Runs all timers that are due. Detects pauses by the gap since the last call.
+void advanceTime(QueryEngine &engine, TimePoint now, ActionList &actions);
+
+//! @brief Time of the next timer, or farFuture.
+TimePoint nextWakeUp(const QueryEngine &engine);
+
+//! @brief Refuses new requests as `not-run` from now on; requests in flight end normally.
+void beginShutdown(QueryEngine &engine);
+
+//! @brief Number of requests not yet answered.
+std::size_t requestsInFlight(const QueryEngine &engine);
+
+const QueryStatistics &queryStatistics(const QueryEngine &engine);
+InvariantCounters &invariantCounters(QueryEngine &engine);
+std::vector<TargetView> targetViews(const QueryEngine &engine);
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/settings/include/settings/settings.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/base.h"
+
+//! @brief Settings of a firm: one base file and a small overlay for each site, in YAML.
+//!
+//! All times are milliseconds in the files. Parsing performs no input or output.
+namespace arbutusgrade {
+
+using Milliseconds = std::chrono::milliseconds;
+
+//! @brief How the shards of a request are combined into an answer.
+enum class AnswerMode {
+    Complete,       //!< All shards of the group; waits up to the deadline for the last one.
+    BestByDeadline, //!< All shards of the group; answers with what is in at the deadline.
+    Single,         //!< One service; idempotent.
+    Once,           //!< One service; runs at most once.
+};
+
+//! @brief Policy of a request class: how patient and how cautious it is.
+struct KindSettings
+{
+    std::string m_name;
+    std::string m_group;
+    AnswerMode m_mode = AnswerMode::Complete;
+    int m_priority = 5;            //!< 0 (least urgent) to 9 (most urgent).
+    Milliseconds m_deadline{1000}; //!< Used when the caller names none; also the upper limit.
+    bool m_hedge = true;
+    int m_retries = 3;             //!< Attempts after the first for each shard; 0 for Once.
+    double m_enoughCoverage = 1.0; //!< BestByDeadline: share of shards that may end the wait early.
+    bool m_partialAllowed = true;  //!< Complete: false turns a missing shard into `failed`.
+};
+
+//! @brief One replica of a service.
+struct TargetSettings
+{
+    std::string m_name;
+    std::string m_dataCentre;
+    std::string m_address;
+    std::uint16_t m_port = 0;
+    bool m_draining = false;
+};
+
+//! @brief One shard of a group; its targets are replicas of each other.
+struct ServiceSettings
+{
+    std::string m_name;
+    int m_slots = 3;        //!< Requests that one target runs at a time.
+    int m_connections = 30; //!< Connections that one target accepts, from all nodes together.
+    std::vector<TargetSettings> m_targets;
+};
+
+//! @brief The services that hold an index under one partitioning epoch.
+struct PartitioningSettings
+{
+    std::uint64_t m_epoch = 1;
+    std::vector<std::string> m_services;
+};
+
+//! @brief Services that together hold one index.
+struct GroupSettings
+{
+    std::string m_name;
+    Milliseconds m_connectTime{6}; //!< Usual time for a new connection.
+    std::vector<ServiceSettings> m_services;
+    std::vector<PartitioningSettings> m_partitionings; //!< Epoch 1 with all services if not given.
+};
+
+//! @brief One daemon on an entry VM.
+struct NodeSettings
+{
+    std::string m_name;
+    std::string m_dataCentre;
+    std::string m_address;
+    std::uint16_t m_callerPort = 0; //!< HTTP for callers and operators.
+    std::uint16_t m_peerPort = 0;   //!< UDP and TCP between nodes.
+};
+
+//! @brief Where the platform's key-value service is reached.
+struct StoreSettings
+{
+    std::string m_address;
+    std::uint16_t m_port = 0;
+    Milliseconds m_timeout{2000};
+    int m_claimsPerSecond = 100; //!< Claim calls that one node may make.
+};
+
+//! @brief A team that may call and administer; tokens are compared in constant time.
+struct TeamSettings
+{
+    std::string m_name;
+    std::string m_tokenHash;           //!< Hash of the token, never the token itself.
+    std::vector<std::string> m_groups; //!< Groups that the team may change.
+    int m_requestsPerSecond = 0;       //!< 0: no quota.
+};
+
+//! @brief All settings in force at one site.
+struct Settings
+{
+    std::string m_firm;
+    std::string m_region;
+    std::string m_site; //!< Data centre whose overlay was applied.
+    std::vector<std::string> m_dataCentres;
+    StoreSettings m_store;
+    std::vector<NodeSettings> m_nodes;
+    std::vector<GroupSettings> m_groups;
+    std::vector<KindSettings> m_kinds;
+    std::vector<TeamSettings> m_teams;
+    std::uint32_t m_bodyLimitBytes = 1048576;
+    Milliseconds m_shutdownLinger{2000}; //!< Accepting goes on this long after readiness fails.
+    Milliseconds m_shutdownBound{30000};
+    double m_spanSampleRate = 0.01;
+};
+
+//! @brief Text of a settings file with the name used in findings.
+struct SettingsSource
+{
+    std::string m_name;
+    std::string_view m_text;
+};
+
+//! @brief Parses, merges and checks a base and an overlay; the overlay may be empty.
+//! @return the settings, or all findings of both files.
+Checked<Settings> parseSettings(const SettingsSource &base, const SettingsSource &overlay);
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/wire/peer.thrift
@@ -0,0 +1,77 @@
+// Messages between nodes. Compact protocol, in UDP datagrams of at most 1,200 bytes and in TCP
+// frames with a 4-byte big-endian length.
+
+namespace cpp arbutusgrade.wire
+
+enum MemberState {
+    ALIVE = 1,
+    SUSPECT = 2,
+    DEAD = 3,
+    LEFT = 4,
+}
+
+struct MemberUpdate {
+    1: string name,
+    2: i64 incarnation,
+    3: MemberState state,
+    4: optional string dataCentre,
+    5: optional string address,
+    6: optional i32 peerPort,
+    7: optional i32 callerPort,
+}
+
+struct SnapshotHeld {
+    1: i64 epoch,
+    2: i64 version,
+}
+
+// State of a target as seen by one of its probers. The highest sequence of one start wins.
+struct TargetUpdate {
+    1: string target,
+    2: string startId,
+    3: i64 sequence,
+    4: bool reachable,
+    5: bool draining,
+    6: list<SnapshotHeld> holdings,
+}
+
+struct QuarantineUpdate {
+    1: i64 fingerprint,
+    2: i32 lostTargets,
+    3: i32 remainingMilliseconds,
+}
+
+enum GossipType {
+    PING = 1,
+    ACK = 2,
+    PING_REQUEST = 3,
+    PUSH = 4,
+}
+
+struct Gossip {
+    1: GossipType type,
+    2: string sender,
+    3: i64 incarnation,
+    4: i64 sequence,
+    5: i64 configurationRevision,
+    6: optional string probeTarget,
+    7: list<MemberUpdate> members,
+    8: list<TargetUpdate> targets,
+    9: list<QuarantineUpdate> quarantines,
+}
+
+struct StatePull {
+    1: string sender,
+    2: i64 configurationRevision,
+    3: bool wantConfiguration,
+    4: bool wantState,
+}
+
+struct StateReply {
+    1: string sender,
+    2: i64 configurationRevision,
+    3: optional string configuration,
+    4: list<MemberUpdate> members,
+    5: list<TargetUpdate> targets,
+    6: list<QuarantineUpdate> quarantines,
+}
