Add telemetry, transport and the node shell

Cause: the request path core needs sockets, logs and metrics around it.

Change: telemetry writes JSON lines through log4cplus, serialises metrics with prometheus-cpp and writes spans with OTLP field names. transport has the HTTP server for callers, the pooled client for targets with a connection cap, and the store client with a claim lease for each hour. node performs the actions of the core, feeds its events and serves the status pages.

A cancel message carries the request id too, because attempt ids are unique for one node only.

--- /dev/null
+++ b/libs/transport/include/transport/transport.h
@@ -0,0 +1,277 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/system/error_code.hpp>
+
+#include "query/query.h"
+
+//! @brief Sockets of a node: HTTP server for callers, clients for targets and for the store.
+//!
+//! All objects are used from the thread that runs the io_context. No function blocks, and no
+//! callback runs inside the call that it belongs to.
+namespace arbutusgrade {
+
+namespace asio = boost::asio;
+
+//! @brief Time of the steady clock in the unit that the cores use.
+TimePoint steadyNow() noexcept;
+
+//! @brief Bytes and messages of one side of a hop, since start.
+struct HopStatistics
+{
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_bytesIn = 0;
+    std::uint64_t m_bytesOut = 0;
+};
+
+// HTTP server ------------------------------------------------------------------------------------
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+//! @brief A request whose headers and body have arrived completely.
+struct HttpRequest
+{
+    std::string m_method;
+    std::string m_path;  //!< Without the query part, not percent-decoded.
+    std::string m_query; //!< After the question mark; empty if there is none.
+    HttpHeaders m_headers;
+    std::string m_body;
+
+    //! @brief Value of a header, compared without regard to case; empty if it is absent.
+    std::string_view header(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    int m_status = 200;
+    std::string m_body;
+    std::string m_contentType = "application/json";
+    HttpHeaders m_headers;
+};
+
+//! @brief Answers one request; may be kept and called later. Calls after the first have no effect,
+//! and neither has a call after the caller disconnected.
+using HttpResponder = std::function<void(HttpResponse)>;
+using HttpHandler = std::function<void(const HttpRequest &, const HttpResponder &)>;
+
+struct HttpServerOptions
+{
+    std::uint32_t m_headerLimitBytes = 16 * 1024;
+    std::uint32_t m_bodyLimitBytes = 1024 * 1024;
+    Duration m_readTimeout{5'000'000};    //!< From the first byte of a request to its last.
+    Duration m_writeTimeout{30'000'000};  //!< For a peer that does not read its response.
+    Duration m_idleTimeout{75'000'000};   //!< Between requests of one connection.
+    std::size_t m_connectionLimit = 4096; //!< Further connections are answered with 503.
+};
+
+struct HttpServerStatistics
+{
+    HopStatistics m_hop;
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_rejectedRequests = 0; //!< Malformed, oversized, slow or truncated.
+    std::size_t m_connections = 0;        //!< Open now.
+};
+
+//! @brief HTTP/1.1 server with a table of routes.
+class HttpServer
+{
+public:
+    HttpServer(asio::io_context &context, const HttpServerOptions &options);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    //! @brief Serves a method and all paths with the prefix; the longest prefix wins.
+    //!
+    //! A prefix that does not end in '/' matches only whole path segments.
+    void addRoute(std::string_view method, std::string_view pathPrefix, HttpHandler handler);
+
+    //! @brief Starts accepting; port 0 picks a free one.
+    boost::system::error_code listen(std::string_view address, std::uint16_t port);
+
+    //! @brief Port in use; 0 before listen.
+    std::uint16_t port() const;
+
+    //! @brief Applies to requests that start later.
+    void setBodyLimit(std::uint32_t bytes);
+
+    //! @brief Makes responses close their connection from now on, so that callers move elsewhere.
+    void announceClose();
+
+    //! @brief Stops accepting and closes idle connections; requests in flight are still answered.
+    void stopAccepting();
+
+    //! @brief Number of requests that are read, handled or being answered.
+    std::size_t requestsInFlight() const;
+
+    HttpServerStatistics statistics() const;
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+// Client for targets -----------------------------------------------------------------------------
+
+//! @brief Address of a target and the connections that this node may have to it.
+struct TargetEndpoint
+{
+    std::string m_name;
+    std::string m_address; //!< IP number.
+    std::uint16_t m_port = 0;
+    int m_connectionCap = 0;
+};
+
+struct TargetClientOptions
+{
+    Duration m_connectTimeout{1'000'000};
+    Duration m_cancelLinger{1'000'000}; //!< A cancelled attempt holds its connection this long.
+    Duration m_probeTimeout{1'000'000};
+    std::uint32_t m_replyLimitBytes = 16 * 1024 * 1024;
+};
+
+struct TargetClientStatistics
+{
+    HopStatistics m_hop;
+    std::uint64_t m_opened = 0;
+    std::uint64_t m_connectFailures = 0;
+    std::uint64_t m_cancels = 0;    //!< Cancel messages sent.
+    std::uint64_t m_mismatches = 0; //!< Replies that echoed other identifiers.
+    std::size_t m_connections = 0;  //!< Open or being opened now.
+    std::size_t m_waiting = 0;      //!< Attempts that wait for a connection now.
+};
+
+//! @brief Where the results of attempts go.
+struct TargetClientEvents
+{
+    std::function<void(std::string_view target, const AttemptReply &reply)> m_reply;
+    std::function<void(AttemptId attempt, AttemptFailure failure)> m_failure;
+};
+
+//! @brief Answer of a probe: the observation with what the target said of itself.
+using ProbeHandler = std::function<void(const TargetObservation &)>;
+
+//! @brief Pools of HTTP/1.1 connections to targets, within a connection cap for each target.
+//!
+//! Every attempt ends in exactly one event, unless it was cancelled.
+class TargetClient
+{
+public:
+    TargetClient(asio::io_context &context, const TargetClientOptions &options,
+                 TargetClientEvents events, InvariantCounters &invariants);
+    ~TargetClient();
+    TargetClient(const TargetClient &) = delete;
+    TargetClient &operator=(const TargetClient &) = delete;
+
+    //! @brief Replaces the targets. Pools whose address stays are kept; attempts in flight to
+    //! targets that are gone end normally.
+    void setTargets(std::span<const TargetEndpoint> targets);
+
+    //! @brief Sends an attempt on a pooled connection, or when one becomes free.
+    void send(const SendAttempt &attempt);
+
+    //! @brief Drops an attempt that waits; tells the target if it was sent and another connection
+    //! is free.
+    void cancel(const CancelAttempt &cancel);
+
+    //! @brief Asks GET /v1/health on a free connection within the cap.
+    //! @return false if there is none. Then the handler is not called, and neither is it if an
+    //! attempt takes the connection first.
+    bool probe(std::string_view target, ProbeHandler handler);
+
+    TargetClientStatistics statistics() const;
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+// Client for the store ---------------------------------------------------------------------------
+
+struct StoreClientOptions
+{
+    std::string m_address; //!< IP number.
+    std::uint16_t m_port = 0;
+    Duration m_timeout{2'000'000};
+    int m_connections = 4;
+};
+
+//! @brief A VM in the platform's list.
+struct VmEntry
+{
+    std::string m_name;
+    std::string m_dataCentre;
+    bool m_leaving = false;
+};
+
+using StoreHandler = std::function<void(const StoreReply &)>;
+using VmListHandler = std::function<void(const std::optional<std::vector<VmEntry>> &)>;
+
+struct StoreClientStatistics
+{
+    HopStatistics m_hop;
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_leases = 0;
+    std::uint64_t m_watches = 0;
+    std::uint64_t m_vmLists = 0;
+    std::uint64_t m_unavailable = 0;        //!< Calls that ended without an answer.
+    std::optional<TimePoint> m_lastContact; //!< Last answer of any kind.
+};
+
+//! @brief Calls of the platform's key-value service and VM list.
+class StoreClient
+{
+public:
+    StoreClient(asio::io_context &context, const StoreClientOptions &options);
+    ~StoreClient();
+    StoreClient(const StoreClient &) = delete;
+    StoreClient &operator=(const StoreClient &) = delete;
+
+    //! @brief Applies to calls that start later.
+    void setOptions(const StoreClientOptions &options);
+
+    //! @brief Performs a call of the core. A leased key is attached to the claim lease, which is
+    //! created first when there is none; a failure of that gives Unavailable.
+    void call(const CallStore &call, StoreHandler handler);
+
+    //! @brief Waits until the key has a revision above the given one. NotFound if it did not
+    //! change in time or does not exist.
+    void watch(std::string_view key, std::int64_t afterRevision, std::chrono::seconds wait,
+               StoreHandler handler);
+
+    void listVms(VmListHandler handler);
+
+    const StoreClientStatistics &statistics() const;
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+// JSON text --------------------------------------------------------------------------------------
+
+//! @brief A member of a JSON object as views into its text.
+struct JsonMember
+{
+    std::string_view m_key;   //!< With quotes and escapes.
+    std::string_view m_value; //!< With quotes, braces or brackets.
+};
+
+//! @brief Splits the text of an object, which a parser has accepted, into its direct members.
+//!
+//! Keeps opaque values as they are, and shows duplicate keys, which a parsed object hides.
+std::vector<JsonMember> splitJsonObject(std::string_view text);
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/transport/src/clientconnection.cpp
@@ -0,0 +1,194 @@
+#include "details/clientconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace arbutusgrade {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// Most replies fit; the buffer grows for larger ones.
+constexpr std::size_t readSizeBytes = 8 * 1024;
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context &context, HopStatistics &hop,
+                                   std::uint64_t replyLimit)
+    : m_socket(context), m_hop(hop), m_replyLimit(replyLimit)
+{
+}
+
+void ClientConnection::connect(const Tcp::endpoint &endpoint, ConnectHandler handler)
+{
+    m_socket.async_connect(
+        endpoint, [self = shared_from_this(), handler = std::move(handler)](error_code error) {
+            if (self->m_closed) {
+                return;
+            }
+            if (!error) {
+                self->m_socket.set_option(Tcp::no_delay(true), error);
+                self->m_socket.non_blocking(true, error);
+            }
+            if (error) {
+                self->close();
+                handler(false);
+                return;
+            }
+            self->m_reusable = true;
+            self->readMore();
+            handler(true);
+        });
+}
+
+void ClientConnection::setIdleCloseHandler(std::function<void()> handler)
+{
+    m_idleCloseHandler = std::move(handler);
+}
+
+void ClientConnection::exchange(std::string_view request, ExchangeHandler handler)
+{
+    m_reusable = false;
+    if (m_closed) {
+        reportNotSent(std::move(handler));
+        return;
+    }
+    error_code error;
+    const std::size_t written =
+        m_socket.write_some(asio::buffer(request.data(), request.size()), error);
+    m_hop.m_bytesOut += written;
+    if (error && error != asio::error::would_block) {
+        close();
+        reportNotSent(std::move(handler));
+        return;
+    }
+    m_parser.emplace(m_content, m_replyLimit);
+    m_handler = std::move(handler);
+    ++m_hop.m_messages;
+    if (written < request.size()) {
+        writeRest(std::string(request.substr(written)));
+    }
+}
+
+void ClientConnection::writeRest(std::string rest)
+{
+    const std::shared_ptr<std::string> text = std::make_shared<std::string>(std::move(rest));
+    asio::async_write(m_socket, asio::buffer(*text),
+                      [self = shared_from_this(), text](error_code error, std::size_t written) {
+                          self->m_hop.m_bytesOut += written;
+                          // A failed write shows in the pending read as well, which ends the
+                          // exchange; closing makes that certain.
+                          if (error && !self->m_closed) {
+                              error_code ignored;
+                              self->m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
+                          }
+                      });
+}
+
+bool ClientConnection::isOpen()
+{
+    if (m_closed) {
+        return false;
+    }
+    char byte = 0;
+    error_code error;
+    // Data between exchanges belongs to no request, so it makes the connection unusable too.
+    m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+void ClientConnection::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_reusable = false;
+    m_handler = nullptr;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void ClientConnection::readMore()
+{
+    m_socket.async_read_some(m_buffer.prepare(readSizeBytes),
+                             [self = shared_from_this()](error_code error, std::size_t bytes) {
+                                 if (!self->m_closed) {
+                                     self->handleRead(error, bytes);
+                                 }
+                             });
+}
+
+void ClientConnection::handleRead(error_code error, std::size_t bytes)
+{
+    m_hop.m_bytesIn += bytes;
+    m_buffer.commit(bytes);
+    if (!m_handler) {
+        // The peer closed an idle connection or sent what nobody asked for.
+        close();
+        if (m_idleCloseHandler) {
+            m_idleCloseHandler();
+        }
+        return;
+    }
+    if (error) {
+        handleEndOfStream();
+        return;
+    }
+    parseBuffered();
+}
+
+void ClientConnection::parseBuffered()
+{
+    error_code error;
+    const std::size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error && error != http::error::need_more) {
+        finish(ExchangeEnd::Malformed);
+        return;
+    }
+    if (!m_parser->is_done()) {
+        readMore();
+        return;
+    }
+    // Bytes after the reply would be taken for the reply of the next request.
+    m_reusable = m_parser->keep_alive() && m_buffer.size() == 0;
+    finish(ExchangeEnd::Reply);
+}
+
+void ClientConnection::handleEndOfStream()
+{
+    error_code error;
+    if (m_parser->got_some()) {
+        m_parser->put_eof(error);
+        if (!error && m_parser->is_done()) {
+            finish(ExchangeEnd::Reply);
+            return;
+        }
+    }
+    finish(ExchangeEnd::Lost);
+}
+
+void ClientConnection::finish(ExchangeEnd end)
+{
+    const ExchangeHandler handler = std::move(m_handler);
+    m_handler = nullptr;
+    if (m_reusable) {
+        readMore();
+    } else {
+        close();
+    }
+    handler(end, m_content);
+}
+
+void ClientConnection::reportNotSent(ExchangeHandler handler)
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), handler = std::move(handler)] {
+        handler(ExchangeEnd::NotSent, self->m_content);
+    });
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/transport/src/details/clientconnection.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "details/replyparser.h"
+#include "transport/transport.h"
+
+namespace arbutusgrade {
+
+using Tcp = asio::ip::tcp;
+
+//! @brief How an exchange on a client connection ended.
+enum class ExchangeEnd {
+    Reply,
+    NotSent,   //!< No byte of the request was handed to the socket.
+    Lost,      //!< The connection ended after bytes had been handed over.
+    Malformed, //!< The reply is no HTTP/1.1 response, or larger than allowed.
+};
+
+//! @brief Client side of one HTTP/1.1 connection; one exchange at a time.
+//!
+//! Callbacks run from the io_context, never inside a call of this class.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    using ConnectHandler = std::function<void(bool connected)>;
+    using ExchangeHandler = std::function<void(ExchangeEnd end, const ReplyContent &reply)>;
+
+    ClientConnection(asio::io_context &context, HopStatistics &hop, std::uint64_t replyLimit);
+
+    void connect(const Tcp::endpoint &endpoint, ConnectHandler handler);
+
+    //! @brief Called when the peer closes the connection between exchanges.
+    void setIdleCloseHandler(std::function<void()> handler);
+
+    //! @brief Writes the request and waits for the reply. The text is not used after the call.
+    void exchange(std::string_view request, ExchangeHandler handler);
+
+    //! @brief True if the peer has not closed the connection, as far as the socket tells.
+    bool isOpen();
+
+    //! @brief True if the last reply allows another exchange.
+    bool isReusable() const
+    {
+        return m_reusable;
+    }
+
+    //! @brief Closes at once without any callback.
+    void close();
+
+private:
+    void writeRest(std::string rest);
+    void readMore();
+    void handleRead(boost::system::error_code error, std::size_t bytes);
+    void parseBuffered();
+    void handleEndOfStream();
+    void finish(ExchangeEnd end);
+    void reportNotSent(ExchangeHandler handler);
+
+    Tcp::socket m_socket;
+    HopStatistics &m_hop;
+    std::uint64_t m_replyLimit;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<ReplyParser> m_parser;
+    ReplyContent m_content;
+    ExchangeHandler m_handler;
+    std::function<void()> m_idleCloseHandler;
+    bool m_reusable = false;
+    bool m_closed = false;
+};
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/transport/src/httpsession.cpp
@@ -0,0 +1,320 @@
+#include "details/httpsession.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace arbutusgrade {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// A rejected request may still be arriving; closing with unread bytes would reset the connection
+// before the peer has read the response. These limits bound how long that is waited for.
+constexpr Duration drainTimeout{1'000'000};
+constexpr std::size_t drainLimitBytes = 4 * 1024 * 1024;
+
+std::string errorBody(std::string_view message)
+{
+    return boost::json::serialize(boost::json::object{{"error", message}});
+}
+
+const HttpRoute *findRoute(const std::vector<HttpRoute> &routes, std::string_view method,
+                           std::string_view path, bool &pathKnown)
+{
+    for (const HttpRoute &route : routes) {
+        const std::string_view prefix = route.m_prefix;
+        const bool matches =
+            path.substr(0, prefix.size()) == prefix
+            && (path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/');
+        if (!matches) {
+            continue;
+        }
+        pathKnown = true;
+        if (route.m_method == method) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+HttpSession::HttpSession(Tcp::socket socket, std::weak_ptr<HttpServerState> state)
+    : m_socket(std::move(socket)), m_state(std::move(state))
+{
+}
+
+void HttpSession::start()
+{
+    error_code ignored;
+    m_socket.set_option(Tcp::no_delay(true), ignored);
+    waitForRequest();
+}
+
+void HttpSession::refuse()
+{
+    reject(503, "too many connections");
+}
+
+void HttpSession::checkDeadline(TimePoint now)
+{
+    if (now < m_deadline) {
+        return;
+    }
+    if (m_phase == Phase::Reading) {
+        // The pending read ends with an error and is answered with 408.
+        m_timedOut = true;
+        m_deadline = farFuture;
+        error_code ignored;
+        m_socket.cancel(ignored);
+        return;
+    }
+    close();
+}
+
+void HttpSession::closeIfIdle()
+{
+    if (m_phase == Phase::Idle) {
+        close();
+    }
+}
+
+void HttpSession::waitForRequest()
+{
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    if (!state || state->m_stopping) {
+        close();
+        return;
+    }
+    m_phase = Phase::Idle;
+    m_deadline = steadyNow() + state->m_options.m_idleTimeout;
+    m_parser.emplace();
+    m_parser->header_limit(state->m_options.m_headerLimitBytes);
+    m_parser->body_limit(state->m_options.m_bodyLimitBytes);
+    if (m_buffer.size() > 0) {
+        startReading();
+        return;
+    }
+    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        if (self->m_phase != Phase::Idle) {
+            return;
+        }
+        if (error) {
+            self->close();
+            return;
+        }
+        self->startReading();
+    });
+}
+
+void HttpSession::startReading()
+{
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    if (!state) {
+        close();
+        return;
+    }
+    m_phase = Phase::Reading;
+    m_timedOut = false;
+    m_deadline = steadyNow() + state->m_options.m_readTimeout;
+    http::async_read_header(m_socket, m_buffer, *m_parser,
+                            [self = shared_from_this()](error_code error, std::size_t bytes) {
+                                if (const std::shared_ptr<HttpServerState> server =
+                                        self->m_state.lock()) {
+                                    server->m_statistics.m_hop.m_bytesIn += bytes;
+                                }
+                                self->handleHeader(error);
+                            });
+}
+
+void HttpSession::handleHeader(error_code error)
+{
+    if (error || m_timedOut) {
+        rejectRead(error);
+        return;
+    }
+    if (m_parser->get()[http::field::expect] == "100-continue") {
+        // The socket buffer of a connection without pending output takes these few bytes at once.
+        static constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+        error_code ignored;
+        m_socket.write_some(asio::buffer(proceed.data(), proceed.size()), ignored);
+    }
+    readBody();
+}
+
+void HttpSession::readBody()
+{
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, std::size_t bytes) {
+                         if (const std::shared_ptr<HttpServerState> server = self->m_state.lock()) {
+                             server->m_statistics.m_hop.m_bytesIn += bytes;
+                         }
+                         self->handleBody(error);
+                     });
+}
+
+void HttpSession::handleBody(error_code error)
+{
+    if (error || m_timedOut) {
+        rejectRead(error);
+        return;
+    }
+    dispatch();
+}
+
+void HttpSession::dispatch()
+{
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    if (!state) {
+        close();
+        return;
+    }
+    m_phase = Phase::Handling;
+    m_deadline = farFuture;
+    ++state->m_statistics.m_hop.m_messages;
+    Parser::value_type message = m_parser->release();
+    m_keepAlive = message.keep_alive();
+    m_request = HttpRequest{};
+    m_request.m_method = message.method_string();
+    const std::string_view target(message.target().data(), message.target().size());
+    const std::size_t queryStart = std::min(target.find('?'), target.size());
+    m_request.m_path = target.substr(0, queryStart);
+    m_request.m_query = target.substr(std::min(queryStart + 1, target.size()));
+    for (const Parser::value_type::header_type::fields_type::value_type &field : message) {
+        m_request.m_headers.emplace_back(field.name_string(), field.value());
+    }
+    m_request.m_body = std::move(message.body());
+
+    const std::uint64_t number = ++m_requestNumber;
+    const HttpResponder responder = [weak = weak_from_this(), number](HttpResponse response) {
+        if (const std::shared_ptr<HttpSession> self = weak.lock()) {
+            self->respond(number, std::move(response));
+        }
+    };
+    bool pathKnown = false;
+    const HttpRoute *route =
+        findRoute(state->m_routes, m_request.m_method, m_request.m_path, pathKnown);
+    if (route == nullptr) {
+        responder(HttpResponse{pathKnown ? 405 : 404,
+                               errorBody(pathKnown ? "method not allowed" : "no such path"),
+                               "application/json",
+                               {}});
+        return;
+    }
+    route->m_handler(m_request, responder);
+}
+
+void HttpSession::rejectRead(error_code error)
+{
+    const bool protocolError =
+        error.category() == make_error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream;
+    if (m_timedOut) {
+        reject(408, "the request did not arrive in time");
+    } else if (error == http::error::body_limit) {
+        reject(413, "the body is larger than allowed");
+    } else if (error == http::error::header_limit) {
+        reject(413, "the headers are larger than allowed");
+    } else if (protocolError) {
+        reject(400, "the request is truncated or malformed: " + error.message());
+    } else {
+        close();
+    }
+}
+
+void HttpSession::reject(int status, std::string_view message)
+{
+    if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+        ++state->m_statistics.m_rejectedRequests;
+    }
+    ++m_requestNumber;
+    write(HttpResponse{status, errorBody(message), "application/json", {}}, false);
+}
+
+void HttpSession::respond(std::uint64_t request, HttpResponse response)
+{
+    if (request != m_requestNumber || m_phase != Phase::Handling) {
+        return;
+    }
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    const bool keepAlive = m_keepAlive && state && !state->m_announceClose && !state->m_stopping;
+    write(std::move(response), keepAlive);
+}
+
+void HttpSession::write(HttpResponse response, bool keepAlive)
+{
+    m_phase = Phase::Writing;
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    m_deadline = state ? steadyNow() + state->m_options.m_writeTimeout : farFuture;
+    m_response.emplace(static_cast<http::status>(response.m_status), 11);
+    m_response->set(http::field::content_type, response.m_contentType);
+    for (const std::pair<std::string, std::string> &header : response.m_headers) {
+        m_response->set(header.first, header.second);
+    }
+    m_response->keep_alive(keepAlive);
+    m_response->body() = std::move(response.m_body);
+    m_response->prepare_payload();
+    http::async_write(m_socket, *m_response,
+                      [self = shared_from_this()](error_code error, std::size_t bytes) {
+                          self->handleWritten(error, bytes);
+                      });
+}
+
+void HttpSession::handleWritten(error_code error, std::size_t bytes)
+{
+    if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+        state->m_statistics.m_hop.m_bytesOut += bytes;
+    }
+    if (error || m_phase != Phase::Writing) {
+        close();
+        return;
+    }
+    if (m_response->keep_alive()) {
+        waitForRequest();
+        return;
+    }
+    error_code ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    m_phase = Phase::Draining;
+    m_deadline = steadyNow() + drainTimeout;
+    m_buffer.clear();
+    drain();
+}
+
+void HttpSession::drain()
+{
+    m_socket.async_read_some(m_buffer.prepare(4096), [self = shared_from_this()](
+                                                         error_code error, std::size_t bytes) {
+        self->m_drainedBytes += bytes;
+        if (error || self->m_phase != Phase::Draining || self->m_drainedBytes > drainLimitBytes) {
+            self->close();
+            return;
+        }
+        self->drain();
+    });
+}
+
+void HttpSession::close()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    m_phase = Phase::Closed;
+    m_deadline = farFuture;
+    error_code ignored;
+    m_socket.close(ignored);
+    if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+        state->m_sessions.erase(shared_from_this());
+        state->m_statistics.m_connections = state->m_sessions.size();
+    }
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/transport/tests/httpservertest.cpp
@@ -0,0 +1,158 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "loopback.h"
+#include "transport/transport.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+HttpServerOptions quickOptions()
+{
+    HttpServerOptions options;
+    options.m_bodyLimitBytes = 1024;
+    options.m_readTimeout = Duration(300'000);
+    return options;
+}
+
+class HttpServerTest : public testing::Test
+{
+protected:
+    HttpServerTest() : m_server(m_context, quickOptions())
+    {
+        m_server.addRoute("POST", "/echo",
+                          [](const HttpRequest &request, const HttpResponder &responder) {
+                              responder(HttpResponse{200, request.m_body, "text/plain", {}});
+                          });
+        m_server.addRoute("POST", "/later",
+                          [this](const HttpRequest &, const HttpResponder &later) {
+                              m_pending.push_back(later);
+                          });
+        EXPECT_FALSE(m_server.listen("127.0.0.1", 0));
+    }
+
+    std::string exchange(std::string_view request, std::string_view expected)
+    {
+        RawClient client(m_context, m_server.port());
+        client.send(request);
+        runUntil(m_context, [&] { return client.received(expected) || client.isClosed(); });
+        return client.text();
+    }
+
+    void expectStillServing()
+    {
+        EXPECT_NE(exchange("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok", "ok")
+                      .find("200 OK"),
+                  std::string::npos);
+    }
+
+    asio::io_context m_context;
+    HttpServer m_server;
+    std::vector<HttpResponder> m_pending;
+};
+
+} // namespace
+
+// Guards against requests of one connection that are answered out of order or not at all.
+TEST_F(HttpServerTest, KeepsConnectionForPipelinedRequests)
+{
+    RawClient client(m_context, m_server.port());
+    const std::string request = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n";
+    client.send(request + "one" + request + "two");
+    ASSERT_TRUE(runUntil(m_context, [&] { return client.received("two"); }));
+    EXPECT_LT(client.text().find("one"), client.text().find("two"));
+    EXPECT_EQ(m_server.statistics().m_accepted, 1U);
+}
+
+// Guards against malformed requests that get no answer or take the server down.
+TEST_F(HttpServerTest, AnswersMalformedRequestWith400)
+{
+    EXPECT_NE(exchange("nonsense\r\n\r\n", "400").find("400 Bad Request"), std::string::npos);
+    EXPECT_NE(exchange("POST /echo HTTP/1.1\r\nContent-Length: abc\r\n\r\n", "400").find("400"),
+              std::string::npos);
+    expectStillServing();
+    EXPECT_EQ(m_server.statistics().m_rejectedRequests, 2U);
+}
+
+// Guards against oversized bodies and headers that are read into memory.
+TEST_F(HttpServerTest, AnswersOversizedRequestWith413)
+{
+    const std::string body(2000, 'x');
+    EXPECT_NE(
+        exchange("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + body, "413")
+            .find("413"),
+        std::string::npos);
+    const std::string chunked =
+        "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "7d0\r\n"
+        + body + "\r\n0\r\n\r\n";
+    EXPECT_NE(exchange(chunked, "413").find("413"), std::string::npos);
+    const std::string header(20000, 'h');
+    EXPECT_NE(exchange("POST /echo HTTP/1.1\r\nX-Long: " + header + "\r\n\r\n", "413").find("413"),
+              std::string::npos);
+    expectStillServing();
+}
+
+// Guards against slow senders that hold a connection and its buffers for ever.
+TEST_F(HttpServerTest, AnswersSlowRequestWith408)
+{
+    EXPECT_NE(exchange("POST /echo HTTP/1.1\r\nContent-Le", "408").find("408"), std::string::npos);
+    EXPECT_NE(exchange("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n12345", "408")
+                  .find("408"),
+              std::string::npos);
+    expectStillServing();
+}
+
+// Guards against truncated requests that are taken for complete ones.
+TEST_F(HttpServerTest, AnswersTruncatedRequestWith400)
+{
+    RawClient client(m_context, m_server.port());
+    client.send("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n12345");
+    client.endSending();
+    ASSERT_TRUE(runUntil(m_context, [&] { return client.isClosed(); }));
+    EXPECT_TRUE(client.received("400 Bad Request"));
+    expectStillServing();
+}
+
+// Guards against a response that is written to a connection that is gone.
+TEST_F(HttpServerTest, ToleratesCallerThatDisconnects)
+{
+    {
+        RawClient client(m_context, m_server.port());
+        client.send("POST /later HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+        ASSERT_TRUE(runUntil(m_context, [&] { return m_pending.size() == 1; }));
+    }
+    m_pending.front()(HttpResponse{200, std::string(500000, 'z'), "text/plain", {}});
+    m_pending.front()(HttpResponse{500, "second answer", "text/plain", {}});
+    EXPECT_TRUE(runUntil(m_context, [&] { return m_server.requestsInFlight() == 0; }));
+    expectStillServing();
+}
+
+// Guards against prefixes that match inside a path segment, and wrong codes for wrong methods.
+TEST_F(HttpServerTest, MatchesWholeSegmentsAndMethods)
+{
+    EXPECT_NE(exchange("POST /echoes HTTP/1.1\r\nHost: x\r\n\r\n", "404").find("404"),
+              std::string::npos);
+    EXPECT_NE(exchange("GET /echo HTTP/1.1\r\nHost: x\r\n\r\n", "405").find("405"),
+              std::string::npos);
+}
+
+// Guards against a shutdown that cuts off a request in flight or keeps idle connections.
+TEST_F(HttpServerTest, StopAnswersRequestInFlight)
+{
+    RawClient busy(m_context, m_server.port());
+    RawClient idle(m_context, m_server.port());
+    busy.send("POST /later HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_pending.size() == 1; }));
+    m_server.stopAccepting();
+    EXPECT_TRUE(runUntil(m_context, [&] { return idle.isClosed(); }));
+    EXPECT_EQ(m_server.requestsInFlight(), 1U);
+    m_pending.front()(HttpResponse{200, "late answer", "text/plain", {}});
+    EXPECT_TRUE(
+        runUntil(m_context, [&] { return busy.received("late answer") && busy.isClosed(); }));
+    EXPECT_TRUE(busy.received("Connection: close"));
+}
+
+} // namespace arbutusgrade
