Add the request path: targets, claims and the query engine

The daemon and the randomised runs link against the functions of query.h, which had no definition.

Once requests run under a claim in the store. Hedges, retries, ejection, quarantine and the queue are in place but have few tests yet.

--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -9,7 +10,9 @@
 #include <vector>
 
 #include "base/base.h"
+#include "claims/claims.h"
 #include "settings/settings.h"
+#include "targets/targets.h"
 
 //! @brief Request path of a node as a deterministic core: events in, actions out.
 //!
@@ -101,14 +104,6 @@
     TraceContext m_trace;
 };
 
-//! @brief Load of a target as it reported it with a reply.
-struct TargetLoad
-{
-    int m_running = 0;
-    int m_queued = 0;
-    int m_slots = 0;
-};
-
 //! @brief How a target ended an attempt.
 enum class AttemptStatus {
     Ok,
@@ -140,9 +135,7 @@
     BadReply,       //!< The reply was malformed or did not match.
 };
 
-//! @brief Result of a store call.
-enum class StoreStatus { Ok, NotFound, Conflict, Unavailable };
-
+//! @brief Reply of the store to one call.
 struct StoreReply
 {
     StoreCallId m_call = 0;
@@ -151,25 +144,6 @@
     std::int64_t m_revision = 0; //!< Revision of the key; 0 if it does not exist.
 };
 
-//! @brief What a probe, the VM list or a peer says of a target. Hints only, except draining.
-struct TargetObservation
-{
-    std::string m_target;
-    std::optional<bool> m_reachable;
-    std::optional<bool> m_draining;
-    std::vector<Snapshot> m_holdings;
-    std::string m_startId;
-    std::optional<TargetLoad> m_load;
-};
-
-//! @brief A request fingerprint that crashed targets, shared between nodes.
-struct QuarantineNotice
-{
-    std::uint64_t m_fingerprint = 0;
-    int m_lostTargets = 0;
-    Duration m_remaining{0};
-};
-
 //! @brief Send the request of an attempt to a target.
 struct SendAttempt
 {
@@ -185,6 +159,9 @@
 };
 
 //! @brief Tell a target that the result of an attempt is no longer wanted. Best effort.
+//!
+//! The attempt occupies its connection until the shell passes on its reply or failure, or until
+//! the core gives up waiting for that after 200 ms; the shell closes the connection by then.
 struct CancelAttempt
 {
     AttemptId m_attempt = 0;
@@ -239,9 +216,6 @@
                             ShareDrain, ShareQuarantine>;
 using ActionList = std::vector<Action>;
 
-//! @brief How the in-flight capacity of a target is divided between nodes.
-enum class SlotPolicy { Adaptive, StaticShare };
-
 //! @brief Faults in single decisions, for proving that runs notice them. None in production.
 enum class QueryMutant {
     None,
@@ -257,6 +231,10 @@
     UnlimitedHedges,
     IgnoreConnectionShare,
     NoQuarantine,
+    RetryWithoutBudget, //!< Retries ignore the budget and saturation, as in a retry storm.
+    ReleaseAfterSend,   //!< A claim is released although the request may have run.
+    SendAfterDeadline,  //!< The deadline is not checked again before a claimed request is sent.
+    LoseQueuedRequest,  //!< A request evicted from the queue gets no answer.
 };
 
 struct QueryOptions
@@ -266,6 +244,9 @@
     std::uint64_t m_seed = 1;
     SlotPolicy m_slotPolicy = SlotPolicy::Adaptive;
     QueryMutant m_mutant = QueryMutant::None;
+    //! Sends a payload that no target has run yet to at most two targets first. Off: a request that
+    //! crashes targets may cost as many targets at once as it has shards.
+    bool m_probePayloads = true;
 };
 
 //! @brief Counts since start, exported as metrics.
@@ -277,6 +258,13 @@
     std::uint64_t m_firstAttempts = 0;
     std::uint64_t m_hedges = 0;
     std::uint64_t m_retries = 0;
+    std::uint64_t m_restarts = 0;        //!< Queries that began again on another snapshot.
+    std::uint64_t m_restartAttempts = 0; //!< Attempts sent again because of restarts.
+    std::uint64_t m_cancels = 0;
+    std::uint64_t m_ejections = 0;
+    std::uint64_t m_pauses = 0;
+    std::uint64_t m_evictions = 0;      //!< Queued requests refused in favour of more urgent ones.
+    std::uint64_t m_budgetDenials = 0;  //!< Hedges and retries not sent for lack of budget.
     std::uint64_t m_droppedReplies = 0; //!< Late, crossed or duplicated.
     std::uint64_t m_storeCalls = 0;
     std::uint64_t m_queued = 0;   //!< Sub-requests waiting now.
--- /dev/null
+++ b/libs/query/src/admission.cpp
@@ -0,0 +1,203 @@
+#include "details/jobs.h"
+
+#include <algorithm>
+
+namespace arbutusgrade {
+
+namespace {
+
+//! Part of the remaining time that the estimate may fill; the rest covers its error.
+constexpr double usableTime = 0.8;
+
+//! Queue waits vary more than service times do.
+constexpr double waitMargin = 1.25;
+
+//! Queued sub-requests that are tried for each free connection before the search stops. Entries
+//! may be bound to a snapshot or target that has no capacity while later ones can go.
+constexpr int blockedLimit = 4;
+
+//! Retries queues without attempts in flight, which no ending attempt would serve.
+constexpr Duration kickInterval = std::chrono::milliseconds(20);
+
+std::size_t clampPriority(int priority) noexcept
+{
+    return static_cast<std::size_t>(std::clamp(priority, 0, static_cast<int>(priorityCount) - 1));
+}
+
+//! Attempts of this node that the service's targets run at a time.
+int serviceCapacity(const QueryEngine &engine, ServiceIndex service) noexcept
+{
+    int capacity = 0;
+    for (const TargetIndex index : engine.m_table.m_services[service].m_targets) {
+        const TargetState &target = engine.m_table.m_targets[index];
+        if (acceptsWork(target) && !target.m_ejected) {
+            capacity += inFlightLimit(engine.m_table, target);
+        }
+    }
+    return capacity;
+}
+
+//! Expected wait of a sub-request with this many before it.
+Duration expectedWait(const QueryEngine &engine, ServiceIndex service, std::size_t ahead) noexcept
+{
+    const int capacity = std::max(serviceCapacity(engine, service), 1);
+    const double median =
+        static_cast<double>(engine.m_table.m_services[service].m_latencies.m_p50.count());
+    return Duration(static_cast<std::int64_t>(median * static_cast<double>(ahead) / capacity));
+}
+
+std::size_t queuedAhead(const ServiceQueue &queue, int priority) noexcept
+{
+    std::size_t ahead = 0;
+    for (std::size_t level = clampPriority(priority); level < priorityCount; ++level) {
+        ahead += queue.m_byPriority[level];
+    }
+    return ahead;
+}
+
+bool isShardHopeless(const QueryEngine &engine, TimePoint now, const Request &request,
+                     const SubRequest &shard)
+{
+    const std::size_t ahead = queuedAhead(engine.m_queues[shard.m_service], request.m_priority);
+    if (ahead == 0) {
+        return false;
+    }
+    const double wait =
+        static_cast<double>(expectedWait(engine, shard.m_service, ahead + 1).count());
+    const double work =
+        static_cast<double>(engine.m_table.m_services[shard.m_service].m_latencies.m_p50.count());
+    const double remaining = static_cast<double>((request.m_deadline - now).count());
+    return wait * waitMargin + work > remaining * usableTime;
+}
+
+//! Refuses the newest request of the lowest priority if its wait has become hopeless.
+void evictLast(QueryEngine &engine, const Event &event, ServiceIndex service)
+{
+    const ServiceQueue &queue = engine.m_queues[service];
+    if (queue.m_entries.empty()) {
+        return;
+    }
+    const QueueEntry last = *queue.m_entries.rbegin();
+    const Duration wait = expectedWait(engine, service, queue.m_entries.size());
+    if (event.m_now + wait <= last.m_deadline) {
+        return;
+    }
+    Request *request = findRequest(engine, last.m_request);
+    if (request == nullptr || request->m_sent > 0) {
+        // What was already run would be wasted, so a request in progress keeps its place.
+        return;
+    }
+    ++engine.m_statistics.m_evictions;
+    if (hasMutant(engine, QueryMutant::LoseQueuedRequest)) {
+        dequeueShard(engine, *request, request->m_shards[last.m_shard]);
+        return;
+    }
+    if (request->m_mode == AnswerMode::Once) {
+        refuseOnce(engine, event, *request, Reason::Overload);
+        return;
+    }
+    answerPlain(engine, event, *request, Outcome::NotRun, Reason::Overload);
+}
+
+//! Sends one queued sub-request.
+//! @return false if it stays in the queue.
+bool serveEntry(QueryEngine &engine, const Event &event, const QueueEntry &entry)
+{
+    Request *request = findRequest(engine, entry.m_request);
+    if (request == nullptr) {
+        return false;
+    }
+    SubRequest &shard = request->m_shards[entry.m_shard];
+    if (isHeldBack(engine, event.m_now, *request)) {
+        dequeueShard(engine, *request, shard);
+        dispatchShard(engine, event, *request, entry.m_shard);
+        return true;
+    }
+    const SendResult result = trySendShard(engine, event, *request, entry.m_shard);
+    if (result == SendResult::Busy) {
+        return false;
+    }
+    if (result != SendResult::Sent) {
+        dequeueShard(engine, *request, shard);
+        dispatchShard(engine, event, *request, entry.m_shard);
+    }
+    return true;
+}
+
+} // namespace
+
+bool isHopeless(const QueryEngine &engine, TimePoint now, const Request &request)
+{
+    const std::size_t hopeless = static_cast<std::size_t>(
+        std::count_if(request.m_shards.begin(), request.m_shards.end(),
+                      [&engine, now, &request](const SubRequest &shard) {
+                          return isShardHopeless(engine, now, request, shard);
+                      }));
+    if (request.m_mode == AnswerMode::BestByDeadline) {
+        return hopeless * 2 > request.m_shards.size();
+    }
+    return hopeless > 0;
+}
+
+void enqueueShard(QueryEngine &engine, const Event &event, Request &request, ShardIndex index)
+{
+    SubRequest &shard = request.m_shards[index];
+    const ServiceIndex service = shard.m_service;
+    ServiceQueue &queue = engine.m_queues[service];
+    ++engine.m_queueNumber;
+    shard.m_state = ShardState::Queued;
+    shard.m_queueNumber = engine.m_queueNumber;
+    queue.m_entries.insert(QueueEntry{request.m_priority, request.m_deadline, shard.m_queueNumber,
+                                      request.m_key, index});
+    ++queue.m_byPriority[clampPriority(request.m_priority)];
+    ++engine.m_statistics.m_queued;
+    if (!queue.m_kickArmed) {
+        queue.m_kickArmed = true;
+        startTimer(engine, event.m_now + kickInterval, TimerKind::ServiceKick, service);
+    }
+    evictLast(engine, event, service);
+}
+
+void dequeueShard(QueryEngine &engine, const Request &request, SubRequest &shard)
+{
+    if (shard.m_queueNumber == 0) {
+        return;
+    }
+    ServiceQueue &queue = engine.m_queues[shard.m_service];
+    queue.m_entries.erase(
+        QueueEntry{request.m_priority, request.m_deadline, shard.m_queueNumber, request.m_key, 0});
+    --queue.m_byPriority[clampPriority(request.m_priority)];
+    --engine.m_statistics.m_queued;
+    shard.m_queueNumber = 0;
+}
+
+void drainQueue(QueryEngine &engine, const Event &event, ServiceIndex service)
+{
+    ServiceQueue &queue = engine.m_queues[service];
+    int blocked = 0;
+    std::optional<QueueEntry> after;
+    while (blocked < blockedLimit && !queue.m_entries.empty()) {
+        const auto next = after ? queue.m_entries.upper_bound(*after) : queue.m_entries.begin();
+        if (next == queue.m_entries.end()) {
+            return;
+        }
+        const QueueEntry entry = *next;
+        if (!serveEntry(engine, event, entry)) {
+            ++blocked;
+        }
+        after = entry;
+    }
+}
+
+void kickService(QueryEngine &engine, const Event &event, ServiceIndex service)
+{
+    engine.m_queues[service].m_kickArmed = false;
+    drainQueue(engine, event, service);
+    ServiceQueue &queue = engine.m_queues[service];
+    if (!queue.m_entries.empty() && !queue.m_kickArmed) {
+        queue.m_kickArmed = true;
+        startTimer(engine, event.m_now + kickInterval, TimerKind::ServiceKick, service);
+    }
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/query/src/coverage.cpp
@@ -0,0 +1,215 @@
+#include "details/jobs.h"
+
+#include <algorithm>
+
+namespace arbutusgrade {
+
+namespace {
+
+//! Slow once requests report late; their outcome is still recorded within this time.
+constexpr Duration lingerTime = std::chrono::seconds(60);
+
+//! Checks the lists of the answer against the state of each shard, in the order of the plan.
+bool isCoverageExact(const QueryEngine &engine, const Request &request, const CallerAnswer &answer)
+{
+    std::size_t included = 0;
+    std::size_t lacking = 0;
+    for (const SubRequest &shard : request.m_shards) {
+        const std::string &name = engine.m_table.m_services[shard.m_service].m_name;
+        if (shard.m_state == ShardState::Merged) {
+            if (included >= answer.m_included.size()
+                || answer.m_included[included].m_service != name) {
+                return false;
+            }
+            ++included;
+            continue;
+        }
+        if (lacking >= answer.m_lacking.size() || answer.m_lacking[lacking].m_service != name
+            || answer.m_lacking[lacking].m_reason == Reason::None) {
+            return false;
+        }
+        ++lacking;
+    }
+    return included == answer.m_included.size() && lacking == answer.m_lacking.size();
+}
+
+//! Why a shard that is still open would be lacking now.
+Reason openShardReason(const SubRequest &shard, Reason openReason) noexcept
+{
+    switch (shard.m_state) {
+    case ShardState::Lacking:
+        return shard.m_reason;
+    case ShardState::Queued:
+        return openReason == Reason::Deadline ? Reason::Overload : openReason;
+    case ShardState::Waiting:
+        return shard.m_reason == Reason::None ? openReason : shard.m_reason;
+    case ShardState::Held:
+    case ShardState::InFlight:
+    case ShardState::Merged:
+        break;
+    }
+    return openReason;
+}
+
+void fillCoverage(QueryEngine &engine, Request &request, CallerAnswer &answer, Reason openReason)
+{
+    answer.m_included.reserve(request.m_merged);
+    for (SubRequest &shard : request.m_shards) {
+        const std::string &name = engine.m_table.m_services[shard.m_service].m_name;
+        if (shard.m_state == ShardState::Merged
+            || hasMutant(engine, QueryMutant::CoverageFromPlan)) {
+            answer.m_included.push_back(ShardResult{name, std::move(shard.m_entries)});
+            continue;
+        }
+        answer.m_lacking.push_back(LackingShard{name, openShardReason(shard, openReason)});
+    }
+    if (hasMutant(engine, QueryMutant::CountShardTwice) && !answer.m_included.empty()) {
+        answer.m_included.push_back(answer.m_included.front());
+    }
+}
+
+Outcome coverageOutcome(const QueryEngine &engine, const Request &request,
+                        const CallerAnswer &answer)
+{
+    if (answer.m_lacking.empty()) {
+        return Outcome::Complete;
+    }
+    if (request.m_possiblyRun == 0) {
+        return Outcome::NotRun;
+    }
+    const KindSettings &kind = engine.m_kinds[request.m_kind].m_settings;
+    const bool useless = request.m_mode == AnswerMode::Single
+                         || (request.m_mode == AnswerMode::Complete && !kind.m_partialAllowed);
+    return useless || answer.m_included.empty() ? Outcome::Failed : Outcome::Partial;
+}
+
+CallerAnswer startAnswer(const Request &request)
+{
+    CallerAnswer answer;
+    answer.m_caller = request.m_caller.m_caller;
+    answer.m_requestId = request.m_caller.m_requestId;
+    answer.m_snapshot = request.m_snapshot;
+    answer.m_trace = request.m_caller.m_trace;
+    return answer;
+}
+
+void checkNotRun(QueryEngine &engine, const Request &request, Outcome outcome)
+{
+    if (outcome != Outcome::NotRun) {
+        return;
+    }
+    const bool earlierSendMayHaveRun = request.m_mode == AnswerMode::Once
+                                       && request.m_caller.m_sendNumber > 1 && request.m_once
+                                       && !request.m_once->m_claim.m_confirmed;
+    checkInvariant(engine.m_invariants, Invariant::NotRunTruth,
+                   request.m_possiblyRun == 0 && !earlierSendMayHaveRun,
+                   "request " + request.m_caller.m_requestId + " may have run");
+}
+
+//! Gives the answer and ends the work of the request.
+void deliver(QueryEngine &engine, const Event &event, Request &request, CallerAnswer answer)
+{
+    checkNotRun(engine, request, answer.m_outcome);
+    recordRequestSpan(engine, event, request, answer.m_outcome);
+    request.m_answered = true;
+    --engine.m_unanswered;
+    ++engine.m_statistics.m_answers;
+    ++engine.m_statistics.m_outcomes[static_cast<std::size_t>(answer.m_outcome)];
+    event.m_actions.emplace_back(AnswerCaller{std::move(answer)});
+    for (SubRequest &shard : request.m_shards) {
+        dequeueShard(engine, request, shard);
+    }
+    if (request.m_mode == AnswerMode::Once) {
+        request.m_caller.m_payload.reset();
+        startTimer(engine, event.m_now + lingerTime, TimerKind::RequestLinger, request.m_key);
+        forgetOnceIfSettled(engine, request);
+        return;
+    }
+    for (SubRequest &shard : request.m_shards) {
+        cancelAttempts(engine, event, shard);
+    }
+    removeRequest(engine, request);
+}
+
+} // namespace
+
+void giveUpShard(QueryEngine &engine, const Event &event, Request &request, ShardIndex index,
+                 Reason reason)
+{
+    SubRequest &shard = request.m_shards[index];
+    dequeueShard(engine, request, shard);
+    cancelAttempts(engine, event, shard);
+    shard.m_state = ShardState::Lacking;
+    shard.m_reason = reason;
+    --request.m_open;
+    answerIfReady(engine, event, request);
+}
+
+void answerIfReady(QueryEngine &engine, const Event &event, Request &request)
+{
+    if (request.m_open == 0) {
+        answerWithCoverage(engine, event, request, Reason::Deadline);
+        return;
+    }
+    const double enough = engine.m_kinds[request.m_kind].m_settings.m_enoughCoverage;
+    const double share =
+        static_cast<double>(request.m_merged) / static_cast<double>(request.m_shards.size());
+    if (request.m_mode != AnswerMode::BestByDeadline || request.m_earlyTimer || enough >= 1.0
+        || share < enough) {
+        return;
+    }
+    // The rest counts as slow once the request is older than nearly all attempts of the group take.
+    request.m_earlyTimer = true;
+    const Duration usual = engine.m_groups[request.m_group].m_latencies.m_p99 * 2;
+    startTimer(engine, std::max(event.m_now, request.m_submittedAt + usual), TimerKind::EarlyAnswer,
+               request.m_key);
+}
+
+void answerWithCoverage(QueryEngine &engine, const Event &event, Request &request,
+                        Reason openReason)
+{
+    CallerAnswer answer = startAnswer(request);
+    fillCoverage(engine, request, answer, openReason);
+    answer.m_outcome = coverageOutcome(engine, request, answer);
+    if (!answer.m_lacking.empty()) {
+        answer.m_reason = answer.m_lacking.front().m_reason;
+    }
+    if (openReason == Reason::Quarantined) {
+        answer.m_outcome = Outcome::Failed;
+        answer.m_reason = Reason::Quarantined;
+    }
+    checkInvariant(engine.m_invariants, Invariant::CoverageExact,
+                   isCoverageExact(engine, request, answer), "lists differ from merged replies");
+    deliver(engine, event, request, std::move(answer));
+}
+
+void answerPlain(QueryEngine &engine, const Event &event, Request &request, Outcome outcome,
+                 Reason reason)
+{
+    CallerAnswer answer = startAnswer(request);
+    answer.m_outcome = outcome;
+    answer.m_reason = reason;
+    for (const SubRequest &shard : request.m_shards) {
+        answer.m_lacking.push_back(
+            LackingShard{engine.m_table.m_services[shard.m_service].m_name, reason});
+    }
+    deliver(engine, event, request, std::move(answer));
+}
+
+void answerShard(QueryEngine &engine, const Event &event, Request &request, Outcome outcome,
+                 Reason reason, const std::optional<Snapshot> &snapshot, std::string entries)
+{
+    CallerAnswer answer = startAnswer(request);
+    answer.m_outcome = outcome;
+    answer.m_reason = reason;
+    answer.m_snapshot = snapshot;
+    const std::string &name = engine.m_table.m_services[request.m_shards.front().m_service].m_name;
+    if (outcome == Outcome::Complete) {
+        answer.m_included.push_back(ShardResult{name, std::move(entries)});
+    } else {
+        answer.m_lacking.push_back(LackingShard{name, reason});
+    }
+    deliver(engine, event, request, std::move(answer));
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/query/src/once.cpp
@@ -0,0 +1,323 @@
+#include "details/jobs.h"
+
+#include <algorithm>
+
+namespace arbutusgrade {
+
+namespace {
+
+constexpr Duration claimRetryDelay = std::chrono::milliseconds(500);
+
+//! A claim costs one call to create and one to record.
+constexpr double callsPerClaim = 2.0;
+
+//! Takes tokens for the calls of a claim. Recording and releasing are never refused, so the count
+//! may fall below zero; new claims wait for it to rise again.
+bool takeClaimTokens(QueryEngine &engine, TimePoint now)
+{
+    const double rate = engine.m_store.m_claimsPerSecond;
+    const double elapsed = std::chrono::duration<double>(now - engine.m_claimTokensAt).count();
+    engine.m_claimTokens = std::min(engine.m_claimTokens + std::max(elapsed, 0.0) * rate, rate);
+    engine.m_claimTokensAt = now;
+    return engine.m_claimTokens >= callsPerClaim;
+}
+
+void callStore(QueryEngine &engine, const Event &event, Request &request, StoreOperation operation,
+               const ClaimAction &action)
+{
+    ++engine.m_storeCallSerial;
+    ++engine.m_statistics.m_storeCalls;
+    engine.m_claimTokens -= 1.0;
+    OnceRun &once = *request.m_once;
+    once.m_call = engine.m_storeCallSerial;
+    once.m_callAt = event.m_now;
+    engine.m_storeCalls.emplace(once.m_call, request.m_key);
+    CallStore call;
+    call.m_call = once.m_call;
+    call.m_operation = operation;
+    call.m_key = once.m_key;
+    call.m_value = action.m_value;
+    call.m_expectedRevision = action.m_expectedRevision;
+    call.m_leased = operation == StoreOperation::CompareAndSwap;
+    call.m_deadline = event.m_now + engine.m_store.m_timeout;
+    event.m_actions.emplace_back(std::move(call));
+}
+
+void performClaim(QueryEngine &engine, const Event &event, Request &request,
+                  const ClaimAction &action);
+
+void startHeld(QueryEngine &engine, const Event &event, Request &request)
+{
+    const bool late =
+        event.m_now >= request.m_deadline && !hasMutant(engine, QueryMutant::SendAfterDeadline);
+    if (request.m_answered) {
+        releaseUnused(engine, event, request);
+        return;
+    }
+    if (late) {
+        refuseOnce(engine, event, request, Reason::Deadline);
+        return;
+    }
+    dispatchAll(engine, event, request);
+}
+
+Outcome recordedOutcome(const ClaimRecord &record) noexcept
+{
+    for (const Outcome outcome : {Outcome::Complete, Outcome::Partial, Outcome::NotRun,
+                                  Outcome::OutcomeUnknown, Outcome::Failed}) {
+        if (outcomeName(outcome) == record.m_outcome) {
+            return outcome;
+        }
+    }
+    return Outcome::OutcomeUnknown;
+}
+
+void answerRecorded(QueryEngine &engine, const Event &event, Request &request)
+{
+    const ClaimRecord &record = *request.m_once->m_claim.m_found;
+    const Outcome outcome = recordedOutcome(record);
+    std::optional<Snapshot> snapshot;
+    if (record.m_snapshot != Snapshot{}) {
+        snapshot = record.m_snapshot;
+    }
+    const Reason reason = outcome == Outcome::Complete ? Reason::None : Reason::TargetError;
+    std::string entries = record.m_resultKept ? record.m_result : std::string("[]");
+    const ServiceIndex service = findService(engine.m_table, request.m_group, record.m_service);
+    if (service != noIndex) {
+        request.m_shards.front().m_service = service;
+    }
+    answerShard(engine, event, request, outcome, reason, snapshot, std::move(entries));
+}
+
+//! The store cannot tell who holds the claim. Nothing was sent by this node.
+void takeUnavailable(QueryEngine &engine, const Event &event, Request &request)
+{
+    const RequestKey key = request.m_key;
+    if (!request.m_answered) {
+        const bool first = request.m_caller.m_sendNumber <= 1;
+        answerPlain(engine, event, request, first ? Outcome::NotRun : Outcome::OutcomeUnknown,
+                    Reason::StoreUnavailable);
+    }
+    Request *answered = findRequest(engine, key);
+    if (answered != nullptr) {
+        releaseUnused(engine, event, *answered);
+    }
+}
+
+void answerIfWaiting(QueryEngine &engine, const Event &event, Request &request, Outcome outcome,
+                     Reason reason)
+{
+    if (!request.m_answered) {
+        answerPlain(engine, event, request, outcome, reason);
+        return;
+    }
+    forgetOnceIfSettled(engine, request);
+}
+
+void performClaim(QueryEngine &engine, const Event &event, Request &request,
+                  const ClaimAction &action)
+{
+    switch (action.m_step) {
+    case ClaimStep::Read:
+        callStore(engine, event, request, StoreOperation::Get, action);
+        break;
+    case ClaimStep::Write:
+        callStore(engine, event, request, StoreOperation::CompareAndSwap, action);
+        break;
+    case ClaimStep::RetryLater:
+        startTimer(engine, event.m_now + claimRetryDelay, TimerKind::ClaimRetry, request.m_key);
+        break;
+    case ClaimStep::Held:
+        startHeld(engine, event, request);
+        break;
+    case ClaimStep::Recorded:
+        if (request.m_answered) {
+            forgetOnceIfSettled(engine, request);
+        } else {
+            answerRecorded(engine, event, request);
+        }
+        break;
+    case ClaimStep::InProgress:
+        answerIfWaiting(engine, event, request, Outcome::OutcomeUnknown, Reason::InProgress);
+        break;
+    case ClaimStep::Mismatch:
+        answerIfWaiting(engine, event, request, Outcome::Failed, Reason::RequestIdReused);
+        break;
+    case ClaimStep::Unavailable:
+        takeUnavailable(engine, event, request);
+        break;
+    case ClaimStep::None:
+        forgetOnceIfSettled(engine, request);
+        break;
+    }
+}
+
+std::uint64_t claimFingerprint(const QueryEngine &engine, const Request &request)
+{
+    const std::string &payload =
+        request.m_caller.m_payload ? *request.m_caller.m_payload : std::string();
+    return stableHash(request.m_caller.m_kind + '\n' + request.m_caller.m_service + '\n' + payload)
+           ^ stableHash(engine.m_table.m_groups[request.m_group].m_name);
+}
+
+} // namespace
+
+void startClaim(QueryEngine &engine, const Event &event, Request &request)
+{
+    if (!takeClaimTokens(engine, event.m_now)) {
+        const bool first = request.m_caller.m_sendNumber <= 1;
+        answerPlain(engine, event, request, first ? Outcome::NotRun : Outcome::OutcomeUnknown,
+                    Reason::Overload);
+        return;
+    }
+    request.m_once = std::make_unique<OnceRun>();
+    OnceRun &once = *request.m_once;
+    once.m_key =
+        claimKey(engine.m_table.m_groups[request.m_group].m_name, request.m_caller.m_requestId);
+    once.m_claim.m_own.m_fingerprint = claimFingerprint(engine, request);
+    once.m_claim.m_own.m_node = engine.m_options.m_node;
+    once.m_claim.m_own.m_incarnation = engine.m_options.m_incarnation;
+    once.m_claim.m_own.m_nonce = spanId(engine, request.m_key);
+    if (hasMutant(engine, QueryMutant::ClaimNotNeeded)) {
+        dispatchAll(engine, event, request);
+        return;
+    }
+    performClaim(engine, event, request, beginClaim(once.m_claim));
+}
+
+void takeStoreReply(QueryEngine &engine, const Event &event, const StoreReply &reply)
+{
+    const auto found = engine.m_storeCalls.find(reply.m_call);
+    if (found == engine.m_storeCalls.end()) {
+        return;
+    }
+    Request *request = findRequest(engine, found->second);
+    engine.m_storeCalls.erase(found);
+    if (request == nullptr || !request->m_once || request->m_once->m_call != reply.m_call) {
+        return;
+    }
+    recordStoreSpan(engine, event, *request,
+                    reply.m_status == StoreStatus::Unavailable ? "unavailable" : "ok");
+    OnceRun &once = *request->m_once;
+    once.m_call = 0;
+    const bool lost =
+        reply.m_status == StoreStatus::Unavailable && once.m_claim.m_phase == ClaimPhase::Writing;
+    if (lost && hasMutant(engine, QueryMutant::ClaimLostMeansHeld)) {
+        once.m_claim.m_phase = ClaimPhase::Held;
+        startHeld(engine, event, *request);
+        return;
+    }
+    performClaim(engine, event, *request,
+                 handleClaimReply(once.m_claim, reply.m_status, reply.m_value, reply.m_revision));
+}
+
+void retryClaimCall(QueryEngine &engine, const Event &event, RequestKey key)
+{
+    Request *request = findRequest(engine, key);
+    if (request == nullptr || !request->m_once || request->m_once->m_call != 0) {
+        return;
+    }
+    performClaim(engine, event, *request, retryClaim(request->m_once->m_claim));
+}
+
+void releaseUnused(QueryEngine &engine, const Event &event, Request &request)
+{
+    OnceRun &once = *request.m_once;
+    if (once.m_settled || once.m_call != 0) {
+        return; // The reply of the pending call leads here again.
+    }
+    once.m_settled = true;
+    checkInvariant(engine.m_invariants, Invariant::AtMostOnce, request.m_possiblyRun == 0,
+                   "claim of " + request.m_caller.m_requestId + " released after a send");
+    performClaim(engine, event, request, releaseClaim(once.m_claim));
+}
+
+bool maySendOnce(QueryEngine &engine, const Event &event, Request &request)
+{
+    if (hasMutant(engine, QueryMutant::ClaimNotNeeded)
+        || hasMutant(engine, QueryMutant::SendAfterDeadline)) {
+        return true;
+    }
+    return event.m_now < request.m_deadline && request.m_once
+           && request.m_once->m_claim.m_phase == ClaimPhase::Held;
+}
+
+void finishOnce(QueryEngine &engine, const Event &event, Request &request, Outcome outcome,
+                Reason reason, const std::optional<Snapshot> &snapshot, std::string entries)
+{
+    OnceRun &once = *request.m_once;
+    if (once.m_settled) {
+        return;
+    }
+    once.m_settled = true;
+    ClaimAction record;
+    if (hasMutant(engine, QueryMutant::ReleaseAfterSend) && outcome == Outcome::OutcomeUnknown) {
+        once.m_settled = false;
+        releaseUnused(engine, event, request);
+    } else if (outcome != Outcome::OutcomeUnknown) {
+        // An unknown outcome stays `claimed`, which later sends read as unknown too.
+        once.m_claim.m_own.m_outcome = outcomeName(outcome);
+        once.m_claim.m_own.m_reason = reasonName(reason);
+        once.m_claim.m_own.m_service =
+            engine.m_table.m_services[request.m_shards.front().m_service].m_name;
+        once.m_claim.m_own.m_snapshot = snapshot.value_or(Snapshot{});
+        once.m_claim.m_own.m_result = entries;
+        record = recordClaim(once.m_claim);
+    } else {
+        once.m_claim.m_phase = ClaimPhase::Ended;
+    }
+    const RequestKey key = request.m_key;
+    if (!request.m_answered) {
+        if (outcome == Outcome::Complete) {
+            answerShard(engine, event, request, outcome, reason, snapshot, std::move(entries));
+        } else {
+            answerPlain(engine, event, request, outcome, reason);
+        }
+    }
+    Request *answered = findRequest(engine, key);
+    if (answered != nullptr) {
+        performClaim(engine, event, *answered, record);
+    }
+}
+
+void refuseOnce(QueryEngine &engine, const Event &event, Request &request, Reason reason)
+{
+    const RequestKey key = request.m_key;
+    const bool notRun = request.m_possiblyRun == 0;
+    answerPlain(engine, event, request, notRun ? Outcome::NotRun : Outcome::OutcomeUnknown, reason);
+    Request *answered = findRequest(engine, key);
+    if (answered != nullptr && answered->m_once && notRun) {
+        releaseUnused(engine, event, *answered);
+    }
+}
+
+void expireOnce(QueryEngine &engine, const Event &event, Request &request)
+{
+    const bool claimRead = request.m_once && request.m_once->m_claim.m_confirmed;
+    if (request.m_possiblyRun == 0 && (claimRead || request.m_caller.m_sendNumber <= 1)) {
+        refuseOnce(engine, event, request, Reason::Deadline);
+        return;
+    }
+    const RequestKey key = request.m_key;
+    const bool sent = request.m_possiblyRun > 0;
+    answerPlain(engine, event, request, Outcome::OutcomeUnknown, Reason::Deadline);
+    Request *answered = findRequest(engine, key);
+    if (answered != nullptr && answered->m_once && !sent) {
+        releaseUnused(engine, event, *answered);
+    }
+}
+
+void forgetOnceIfSettled(QueryEngine &engine, Request &request)
+{
+    if (!request.m_answered) {
+        return;
+    }
+    const bool claimOpen = request.m_once && request.m_once->m_claim.m_phase != ClaimPhase::Ended;
+    const bool inFlight = !request.m_shards.empty() && hasAttempts(request.m_shards.front());
+    if (claimOpen || inFlight) {
+        return;
+    }
+    removeRequest(engine, request);
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/query/src/submit.cpp
@@ -0,0 +1,122 @@
+#include "details/jobs.h"
+
+#include <algorithm>
+
+namespace arbutusgrade {
+
+namespace {
+
+//! Refuses a request that has no place in the engine yet.
+void refuseAtOnce(QueryEngine &engine, const Event &event, const CallerRequest &caller,
+                  Outcome outcome, Reason reason)
+{
+    CallerAnswer answer;
+    answer.m_caller = caller.m_caller;
+    answer.m_requestId = caller.m_requestId;
+    answer.m_outcome = outcome;
+    answer.m_reason = reason;
+    answer.m_trace = caller.m_trace;
+    ++engine.m_statistics.m_answers;
+    ++engine.m_statistics.m_outcomes[static_cast<std::size_t>(outcome)];
+    event.m_actions.emplace_back(AnswerCaller{std::move(answer)});
+}
+
+//! The named service, or the one that the request id falls on in the newest partitioning.
+ServiceIndex selectService(const QueryEngine &engine, GroupIndex groupIndex,
+                           const CallerRequest &caller)
+{
+    const GroupState &group = engine.m_table.m_groups[groupIndex];
+    if (!caller.m_service.empty()) {
+        const ServiceIndex service = findService(engine.m_table, groupIndex, caller.m_service);
+        const bool known = service != noIndex && engine.m_table.m_services[service].m_configured;
+        return known ? service : noIndex;
+    }
+    if (group.m_partitionings.empty() || group.m_partitionings.front().m_services.empty()) {
+        return noIndex;
+    }
+    const std::vector<ServiceIndex> &services = group.m_partitionings.front().m_services;
+    return services[stableHash(caller.m_requestId) % services.size()];
+}
+
+std::uint64_t payloadFingerprint(const std::string &group, const CallerRequest &caller)
+{
+    const std::uint64_t payload = caller.m_payload ? stableHash(*caller.m_payload) : 0;
+    return stableHash(group) ^ (payload * 0x9e3779b97f4a7c15ULL);
+}
+
+void fillRequest(QueryEngine &engine, const Event &event, Request &request,
+                 const CallerRequest &caller, std::uint32_t kindIndex)
+{
+    const KindState &kind = engine.m_kinds[kindIndex];
+    const Duration limit = kind.m_settings.m_deadline;
+    request.m_caller = caller;
+    request.m_kind = kindIndex;
+    request.m_group = kind.m_group;
+    request.m_mode = kind.m_settings.m_mode;
+    request.m_priority =
+        std::clamp(kind.m_settings.m_priority, 0, static_cast<int>(priorityCount) - 1);
+    request.m_submittedAt = event.m_now;
+    request.m_deadline = event.m_now + std::min(caller.m_timeout.value_or(limit), limit);
+    request.m_fingerprint =
+        payloadFingerprint(engine.m_table.m_groups[kind.m_group].m_name, caller);
+    request.m_span = spanId(engine, request.m_key);
+}
+
+void startRequest(QueryEngine &engine, const Event &event, Request &request)
+{
+    if (isHopeless(engine, event.m_now, request)) {
+        answerPlain(engine, event, request, Outcome::NotRun, Reason::Overload);
+        return;
+    }
+    startTimer(engine, request.m_deadline, TimerKind::RequestDeadline, request.m_key);
+    if (request.m_mode == AnswerMode::Once) {
+        startClaim(engine, event, request);
+        return;
+    }
+    dispatchAll(engine, event, request);
+}
+
+} // namespace
+
+void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &caller,
+                   ActionList &actions)
+{
+    const Event event{now, actions};
+    enterEvent(engine, event);
+    ++engine.m_statistics.m_requests;
+    if (!engine.m_configured || engine.m_shuttingDown) {
+        const Reason reason = engine.m_shuttingDown ? Reason::ShuttingDown : Reason::NoReplica;
+        refuseAtOnce(engine, event, caller, Outcome::NotRun, reason);
+        return;
+    }
+    const auto kind = engine.m_kindByName.find(caller.m_kind);
+    if (kind == engine.m_kindByName.end() || engine.m_kinds[kind->second].m_group == noIndex) {
+        refuseAtOnce(engine, event, caller, Outcome::NotRun, Reason::UnknownKind);
+        return;
+    }
+    Request &request = createRequest(engine);
+    fillRequest(engine, event, request, caller, kind->second);
+    ++engine.m_unanswered;
+    if (!hasMutant(engine, QueryMutant::NoQuarantine)
+        && isQuarantined(engine.m_fingerprints, now, request.m_fingerprint)) {
+        answerPlain(engine, event, request, Outcome::Failed, Reason::Quarantined);
+        return;
+    }
+    if (isFanOut(request)) {
+        if (!pinSnapshot(engine, request)) {
+            answerPlain(engine, event, request, Outcome::NotRun, Reason::NoReplica);
+            return;
+        }
+    } else {
+        const ServiceIndex service = selectService(engine, request.m_group, caller);
+        if (service == noIndex) {
+            answerPlain(engine, event, request, Outcome::NotRun, Reason::UnknownService);
+            return;
+        }
+        request.m_shards.emplace_back().m_service = service;
+        request.m_open = 1;
+    }
+    startRequest(engine, event, request);
+}
+
+} // namespace arbutusgrade
