Parse and check the settings of a firm and its sites

Cause: parseSettings was a stub; every other part needs checked settings. Ruled out: YAML::Node trees, because they expand aliases and hide repeated keys; checking only the merged file, because an overlay could hide a fault of the base. Change: the event interface of yaml-cpp builds a tree with places; overlays are merged into it by name; compact forms of services and targets are written out; names, addresses and references are checked; all findings come in order of place. An overlay may not change what all sites must share: firm, data centres, partitionings, group and mode of a kind. Before: no settings. Conclusion: parts that need settings can call parseSettings.

--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -35,6 +35,8 @@
     int m_retries = 3;             //!< Attempts after the first for each shard; 0 for Once.
     double m_enoughCoverage = 1.0; //!< BestByDeadline: share of shards that may end the wait early.
     bool m_partialAllowed = true;  //!< Complete: false turns a missing shard into `failed`.
+
+    bool operator==(const KindSettings &other) const = default;
 };
 
 //! @brief One replica of a service.
@@ -45,6 +47,8 @@
     std::string m_address;
     std::uint16_t m_port = 0;
     bool m_draining = false;
+
+    bool operator==(const TargetSettings &other) const = default;
 };
 
 //! @brief One shard of a group; its targets are replicas of each other.
@@ -54,6 +58,8 @@
     int m_slots = 3;        //!< Requests that one target runs at a time.
     int m_connections = 30; //!< Connections that one target accepts, from all nodes together.
     std::vector<TargetSettings> m_targets;
+
+    bool operator==(const ServiceSettings &other) const = default;
 };
 
 //! @brief The services that hold an index under one partitioning epoch.
@@ -61,6 +67,8 @@
 {
     std::uint64_t m_epoch = 1;
     std::vector<std::string> m_services;
+
+    bool operator==(const PartitioningSettings &other) const = default;
 };
 
 //! @brief Services that together hold one index.
@@ -70,6 +78,8 @@
     Milliseconds m_connectTime{6}; //!< Usual time for a new connection.
     std::vector<ServiceSettings> m_services;
     std::vector<PartitioningSettings> m_partitionings; //!< Epoch 1 with all services if not given.
+
+    bool operator==(const GroupSettings &other) const = default;
 };
 
 //! @brief One daemon on an entry VM.
@@ -80,6 +90,8 @@
     std::string m_address;
     std::uint16_t m_callerPort = 0; //!< HTTP for callers and operators.
     std::uint16_t m_peerPort = 0;   //!< UDP and TCP between nodes.
+
+    bool operator==(const NodeSettings &other) const = default;
 };
 
 //! @brief Where the platform's key-value service is reached.
@@ -89,15 +101,20 @@
     std::uint16_t m_port = 0;
     Milliseconds m_timeout{2000};
     int m_claimsPerSecond = 100; //!< Claim calls that one node may make.
+
+    bool operator==(const StoreSettings &other) const = default;
 };
 
 //! @brief A team that may call and administer; tokens are compared in constant time.
 struct TeamSettings
 {
     std::string m_name;
-    std::string m_tokenHash;           //!< Hash of the token, never the token itself.
+    std::string m_tokenHash;           //!< "sha256:" and 64 hex digits, never the token itself.
     std::vector<std::string> m_groups; //!< Groups that the team may change.
+    bool m_platform = false;           //!< May also change what belongs to no group.
     int m_requestsPerSecond = 0;       //!< 0: no quota.
+
+    bool operator==(const TeamSettings &other) const = default;
 };
 
 //! @brief All settings in force at one site.
@@ -105,7 +122,7 @@
 {
     std::string m_firm;
     std::string m_region;
-    std::string m_site; //!< Data centre whose overlay was applied.
+    std::string m_site; //!< Data centre whose overlay was applied; empty without an overlay.
     std::vector<std::string> m_dataCentres;
     StoreSettings m_store;
     std::vector<NodeSettings> m_nodes;
@@ -116,6 +133,8 @@
     Milliseconds m_shutdownLinger{2000}; //!< Accepting goes on this long after readiness fails.
     Milliseconds m_shutdownBound{30000};
     double m_spanSampleRate = 0.01;
+
+    bool operator==(const Settings &other) const = default;
 };
 
 //! @brief Text of a settings file with the name used in findings.
@@ -125,8 +144,11 @@
     std::string_view m_text;
 };
 
-//! @brief Parses, merges and checks a base and an overlay; the overlay may be empty.
-//! @return the settings, or all findings of both files.
+//! @brief Parses, merges and checks a base and an overlay.
+//!
+//! An overlay with neither name nor text means that the base alone is in force. Texts are limited
+//! to 1 MB. Never throws on account of the texts.
+//! @return the settings, or all findings of both files in order of place, the base first.
 Checked<Settings> parseSettings(const SettingsSource &base, const SettingsSource &overlay);
 
 } // namespace arbutusgrade
--- /dev/null
+++ b/libs/settings/src/names.cpp
@@ -0,0 +1,82 @@
+#include "details/names.h"
+
+namespace arbutusgrade::details {
+
+namespace {
+
+std::string_view kindText(NameKind kind)
+{
+    switch (kind) {
+    case NameKind::DataCentre:
+        return "data centre";
+    case NameKind::Group:
+        return "group";
+    case NameKind::Service:
+        return "service";
+    case NameKind::ServiceOfGroup:
+        return "service in this group";
+    case NameKind::Target:
+        return "target";
+    case NameKind::Node:
+        return "node";
+    case NameKind::Kind:
+        return "kind";
+    case NameKind::Team:
+        return "team";
+    case NameKind::Epoch:
+        return "epoch";
+    case NameKind::Endpoint:
+        break;
+    }
+    return "address and port";
+}
+
+constexpr std::size_t maximumSuggestions = 200;
+
+std::vector<std::string_view> namesOfKind(const NameTable &table, NameKind kind)
+{
+    std::vector<std::string_view> names;
+    for (auto name = table.m_declared.lower_bound({kind, std::string()});
+         name != table.m_declared.end() && name->first.first == kind
+         && names.size() < maximumSuggestions;
+         ++name) {
+        names.push_back(name->first.second);
+    }
+    return names;
+}
+
+} // namespace
+
+void declareName(NameTable &table, NameKind kind, const std::string &name, const Place &place,
+                 FindingList &findings)
+{
+    const auto [declared, isNew] = table.m_declared.emplace(std::pair{kind, name}, place);
+    if (!isNew) {
+        addFinding(findings, place,
+                   std::string(kindText(kind)) + " " + quote(name) + " is used twice, first at "
+                       + formatPlace(findings, declared->second));
+    }
+}
+
+void referToName(NameTable &table, NameReference reference)
+{
+    table.m_references.push_back(std::move(reference));
+}
+
+void resolveReferences(const NameTable &table, FindingList &findings)
+{
+    for (const NameReference &reference : table.m_references) {
+        if (table.m_incomplete.contains(reference.m_kind)
+            || table.m_declared.contains({reference.m_kind, reference.m_name})) {
+            continue;
+        }
+        const bool isScoped = !reference.m_shownName.empty();
+        const std::string &shown = isScoped ? reference.m_shownName : reference.m_name;
+        addFinding(findings, reference.m_place,
+                   "there is no " + std::string(kindText(reference.m_kind)) + " " + quote(shown)
+                       + (isScoped ? std::string()
+                                   : suggestion(shown, namesOfKind(table, reference.m_kind))));
+    }
+}
+
+} // namespace arbutusgrade::details
