Add the daemon

Cause: the request path needs a program that joins it to real sockets.

Change: arbutusgraded reads a base and an overlay, prints all findings together and exits with 2, serves callers, and ends gracefully on SIGTERM. The kind label of the latency metric is "unknown" for kinds that are not configured, because callers could otherwise create label values without limit.

--- a/libs/node/src/nodeshell.cpp
+++ b/libs/node/src/nodeshell.cpp
@@ -138,7 +138,9 @@
     }
     const WaitingCaller caller = std::move(entry->second);
     m_callers.erase(entry);
-    m_answerLatency.observe(caller.m_kind, steadyNow() - caller.m_arrived);
+    // Callers may send any text as kind; only configured ones may become label values.
+    const bool known = action.m_answer.m_reason != Reason::UnknownKind;
+    m_answerLatency.observe(known ? caller.m_kind : "unknown", steadyNow() - caller.m_arrived);
     caller.m_responder(formatAnswer(action.m_answer));
 }
 
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -227,7 +227,7 @@
     std::uint64_t m_watches = 0;
     std::uint64_t m_vmLists = 0;
     std::uint64_t m_unavailable = 0;        //!< Calls that ended without an answer.
-    std::optional<TimePoint> m_lastContact; //!< Last answer of any kind.
+    std::optional<TimePoint> m_lastContact; //!< Last answer of the store itself.
 };
 
 //! @brief Calls of the platform's key-value service and VM list.
--- a/libs/transport/src/storeclient.cpp
+++ b/libs/transport/src/storeclient.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr int tooManyRequests = 429;
+
 // Claims must outlive the 24 h in which callers may send again. A lease takes claims for an hour,
 // so 25 h leave 24 h for the last of them. It is replaced before the hour ends, so that a slow
 // store does not stop claims.
@@ -128,7 +130,10 @@
             if (!self) {
                 return;
             }
-            if (reply != nullptr) {
+            // A front end that answers for a store that is down is no contact with it.
+            const bool answered =
+                reply != nullptr && reply->m_status < 500 && reply->m_status != tooManyRequests;
+            if (answered) {
                 self->m_statistics.m_lastContact = steadyNow();
             } else {
                 ++self->m_statistics.m_unavailable;
--- /dev/null
+++ b/tools/arbutusgraded/main.cpp
@@ -0,0 +1,137 @@
+//! @brief The daemon on entry VMs: reads its settings, serves callers until SIGTERM.
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "node/node.h"
+
+ABSL_FLAG(std::string, base, "", "settings file that the whole firm shares (YAML)");
+ABSL_FLAG(std::string, overlay, "", "settings file of this site; optional");
+ABSL_FLAG(std::string, node, "", "name of this node in the settings");
+ABSL_FLAG(std::string, log_file, "", "file for log lines; standard error if empty");
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr int exitFailure = 1;
+
+constexpr const char *usageText =
+    "Serves queries of callers from sharded targets.\n\n"
+    "Example:\n"
+    "  arbutusgraded --base firm.yaml --overlay bergen.yaml --node bergen-1\n\n"
+    "SIGTERM ends it gracefully. Exit codes: 0 after SIGTERM, 1 if it cannot start, 2 for usage\n"
+    "errors or findings in the settings.";
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::optional<arbutusgrade::Settings> readSettings(const std::string &basePath,
+                                                   const std::string &overlayPath)
+{
+    const std::optional<std::string> base = readFile(basePath);
+    const std::optional<std::string> overlay =
+        overlayPath.empty() ? std::optional<std::string>("") : readFile(overlayPath);
+    if (!base || !overlay) {
+        std::cerr << "cannot read " << (base ? overlayPath : basePath) << '\n';
+        return std::nullopt;
+    }
+    const arbutusgrade::Checked<arbutusgrade::Settings> settings =
+        arbutusgrade::parseSettings({basePath, *base}, {overlayPath, *overlay});
+    if (settings) {
+        return settings.value();
+    }
+    for (const arbutusgrade::Finding &finding : settings.error()) {
+        std::cerr << arbutusgrade::formatFinding(finding) << '\n';
+    }
+    return std::nullopt;
+}
+
+arbutusgrade::NodeOptions nodeOptions()
+{
+    arbutusgrade::NodeOptions options;
+    options.m_node = absl::GetFlag(FLAGS_node);
+    // Microseconds of the wall clock differ at each start, which makes incarnations distinct.
+    options.m_incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                       std::chrono::system_clock::now().time_since_epoch())
+                                       .count());
+    std::random_device device;
+    options.m_seed = (static_cast<std::uint64_t>(device()) << 32U) | device();
+    return options;
+}
+
+void waitForSignal(boost::asio::signal_set &signals, boost::asio::io_context &context,
+                   arbutusgrade::NodeShell &shell)
+{
+    signals.async_wait([&](boost::system::error_code error, int /*signal*/) {
+        if (error) {
+            return;
+        }
+        // A repeated signal changes nothing, so that no request in flight is cut off.
+        shell.beginShutdown([&context] { context.stop(); });
+        waitForSignal(signals, context, shell);
+    });
+}
+
+int run(const arbutusgrade::Settings &settings)
+{
+    boost::asio::io_context context(1);
+    const arbutusgrade::NodeOptions options = nodeOptions();
+    arbutusgrade::Log log({options.m_node, absl::GetFlag(FLAGS_log_file)});
+    arbutusgrade::NodeShell shell(context, options, log);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    waitForSignal(signals, context, shell);
+    shell.adoptSettings(settings, 0);
+    const std::string problem = shell.start();
+    if (!problem.empty()) {
+        std::cerr << problem << '\n';
+        return exitFailure;
+    }
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage(usageText);
+    const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
+    if (rest.size() > 1 || absl::GetFlag(FLAGS_base).empty() || absl::GetFlag(FLAGS_node).empty()) {
+        std::cerr << "--base FILE and --node NAME are required; see --help\n";
+        return exitUsage;
+    }
+    const std::optional<arbutusgrade::Settings> settings =
+        readSettings(absl::GetFlag(FLAGS_base), absl::GetFlag(FLAGS_overlay));
+    if (!settings) {
+        return exitUsage;
+    }
+    try {
+        return run(*settings);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return exitFailure;
+    }
+}
