Add the library that the daemon and the tools share for administration

Cause: the administration API needs one definition of its messages, of the rights of teams and of the comparison of tokens on both sides. Before: nothing.

--- /dev/null
+++ b/libs/administration/src/details/jsonreader.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json.hpp>
+
+#include "base/base.h"
+
+//! @brief Typed reading of JSON objects. Faults become findings; reading goes on.
+namespace arbutusgrade::details {
+
+namespace json = boost::json;
+
+enum class FieldPresence { Required, Optional };
+
+//! @brief One object and what is wrong with it.
+struct ObjectReader
+{
+    const json::object *m_object = nullptr; //!< nullptr: all reads give nothing.
+    std::string m_path;                     //!< Of the object within the text, for messages.
+    std::string m_file;
+    std::vector<Finding> *m_findings = nullptr;
+    std::vector<std::string_view> m_knownFields;
+};
+
+//! @brief Parses a text that must be one object; a syntax error is a finding with its place.
+std::optional<json::value> parseObject(std::string_view text, std::string_view file,
+                                       std::vector<Finding> &findings);
+
+ObjectReader openObject(const json::value &value, std::string path, std::string_view file,
+                        std::vector<Finding> &findings);
+
+//! @brief Reports the fields that were not asked for.
+void reportUnknownFields(const ObjectReader &reader);
+
+void addFieldFinding(const ObjectReader &reader, std::string_view field, std::string_view problem);
+
+const json::value *readField(ObjectReader &reader, std::string_view field, FieldPresence presence);
+std::string readString(ObjectReader &reader, std::string_view field, FieldPresence presence,
+                       std::size_t maximumBytes);
+std::int64_t readNumber(ObjectReader &reader, std::string_view field, FieldPresence presence,
+                        std::int64_t minimum);
+const json::array *readArray(ObjectReader &reader, std::string_view field, FieldPresence presence);
+
+//! @brief Reads an object whose values are all strings.
+std::vector<std::pair<std::string, std::string>> readStringMap(ObjectReader &reader,
+                                                               std::string_view field,
+                                                               FieldPresence presence);
+
+} // namespace arbutusgrade::details
--- /dev/null
+++ b/libs/administration/src/jsonreader.cpp
@@ -0,0 +1,166 @@
+#include "details/jsonreader.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace arbutusgrade::details {
+
+namespace {
+
+//! Messages nest 3 levels deep.
+constexpr std::size_t maximumDepth = 8;
+
+Finding placedFinding(std::string_view text, std::size_t offset, std::string_view file,
+                      std::string message)
+{
+    const std::string_view before = text.substr(0, std::min(offset, text.size()));
+    const std::size_t lineStart = before.rfind('\n') + 1;
+    const std::ptrdiff_t lines = std::count(before.begin(), before.end(), '\n');
+    return Finding{std::string(file), static_cast<int>(lines) + 1,
+                   static_cast<int>(before.size() - lineStart) + 1, std::move(message)};
+}
+
+} // namespace
+
+std::optional<json::value> parseObject(std::string_view text, std::string_view file,
+                                       std::vector<Finding> &findings)
+{
+    json::parse_options options;
+    options.max_depth = maximumDepth;
+    json::stream_parser parser({}, options);
+    boost::system::error_code error;
+    const std::size_t consumed = parser.write_some(text.data(), text.size(), error);
+    if (!error && consumed < text.size()) {
+        error = json::error::extra_data;
+    }
+    if (!error) {
+        parser.finish(error);
+    }
+    if (error) {
+        findings.push_back(placedFinding(text, consumed, file, "JSON syntax: " + error.message()));
+        return std::nullopt;
+    }
+    json::value value = parser.release();
+    if (!value.is_object()) {
+        findings.push_back(Finding{std::string(file), 1, 1, "must be a JSON object"});
+        return std::nullopt;
+    }
+    return value;
+}
+
+ObjectReader openObject(const json::value &value, std::string path, std::string_view file,
+                        std::vector<Finding> &findings)
+{
+    ObjectReader reader{value.if_object(), std::move(path), std::string(file), &findings, {}};
+    if (reader.m_object == nullptr) {
+        findings.push_back(Finding{reader.m_file, 0, 0, reader.m_path + " must be an object"});
+    }
+    return reader;
+}
+
+void reportUnknownFields(const ObjectReader &reader)
+{
+    if (reader.m_object == nullptr) {
+        return;
+    }
+    const std::vector<std::string_view> &known = reader.m_knownFields;
+    for (const json::key_value_pair &entry : *reader.m_object) {
+        const std::string_view name = entry.key();
+        if (std::find(known.begin(), known.end(), name) == known.end()) {
+            addFieldFinding(reader, name, "is not known");
+        }
+    }
+}
+
+void addFieldFinding(const ObjectReader &reader, std::string_view field, std::string_view problem)
+{
+    reader.m_findings->push_back(
+        Finding{reader.m_file, 0, 0,
+                "'" + reader.m_path + std::string(field) + "' " + std::string(problem)});
+}
+
+const json::value *readField(ObjectReader &reader, std::string_view field, FieldPresence presence)
+{
+    if (reader.m_object == nullptr) {
+        return nullptr;
+    }
+    reader.m_knownFields.push_back(field);
+    const json::value *const value = reader.m_object->if_contains(field);
+    if (value == nullptr && presence == FieldPresence::Required) {
+        addFieldFinding(reader, field, "is missing");
+    }
+    return value;
+}
+
+std::string readString(ObjectReader &reader, std::string_view field, FieldPresence presence,
+                       std::size_t maximumBytes)
+{
+    const json::value *const value = readField(reader, field, presence);
+    if (value == nullptr) {
+        return {};
+    }
+    const json::string *const text = value->if_string();
+    if (text == nullptr) {
+        addFieldFinding(reader, field, "must be a string");
+        return {};
+    }
+    if (text->size() > maximumBytes) {
+        addFieldFinding(reader, field,
+                        "must have at most " + std::to_string(maximumBytes) + " bytes");
+        return {};
+    }
+    return std::string(*text);
+}
+
+std::int64_t readNumber(ObjectReader &reader, std::string_view field, FieldPresence presence,
+                        std::int64_t minimum)
+{
+    const json::value *const value = readField(reader, field, presence);
+    if (value == nullptr) {
+        return 0;
+    }
+    boost::system::error_code error;
+    const std::int64_t number = value->is_double() ? 0 : value->to_number<std::int64_t>(error);
+    if (error || value->is_double() || number < minimum) {
+        addFieldFinding(reader, field,
+                        "must be a whole number of at least " + std::to_string(minimum));
+        return 0;
+    }
+    return number;
+}
+
+const json::array *readArray(ObjectReader &reader, std::string_view field, FieldPresence presence)
+{
+    const json::value *const value = readField(reader, field, presence);
+    if (value == nullptr) {
+        return nullptr;
+    }
+    if (!value->is_array()) {
+        addFieldFinding(reader, field, "must be an array");
+    }
+    return value->if_array();
+}
+
+std::vector<std::pair<std::string, std::string>> readStringMap(ObjectReader &reader,
+                                                               std::string_view field,
+                                                               FieldPresence presence)
+{
+    std::vector<std::pair<std::string, std::string>> result;
+    const json::value *const value = readField(reader, field, presence);
+    if (value == nullptr) {
+        return result;
+    }
+    ObjectReader entries = openObject(*value, reader.m_path + std::string(field) + ".",
+                                      reader.m_file, *reader.m_findings);
+    if (entries.m_object == nullptr) {
+        return result;
+    }
+    for (const json::key_value_pair &entry : *entries.m_object) {
+        const std::string_view name = entry.key();
+        result.emplace_back(std::string(name), readString(entries, name, FieldPresence::Required,
+                                                          std::numeric_limits<std::size_t>::max()));
+    }
+    return result;
+}
+
+} // namespace arbutusgrade::details
