Add the core of the membership library

Cause: nodes need to know each other, the state of the targets, quarantines and the revision in force at each member without asking the store and within 5 KB/s.

Change: libs/membership with SWIM, suspicion that shortens with independent accusers, indirect probes with refusals, self-awareness, pause detection, leave, seeds, delegates between data centres, updates within 1,200 bytes a datagram, pushes on urgent news and a token bucket in bytes.

--- /dev/null
+++ b/libs/membership/tests/membershiptest.cpp
@@ -0,0 +1,357 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <deque>
+
+#include <gtest/gtest.h>
+
+namespace arbutusgrade {
+namespace {
+
+constexpr Duration second{1'000'000};
+constexpr Duration tick{10'000};
+
+//! Cores that exchange datagrams with a delay of one tick; time moves for all together.
+class MembershipTest : public testing::Test
+{
+protected:
+    struct Node
+    {
+        MembershipCore m_core;
+        bool m_running = true;
+        std::vector<MembershipAction> m_seen; //!< Other than datagrams, since the last clear.
+    };
+
+    struct Datagram
+    {
+        std::string m_from;
+        SendGossip m_send;
+    };
+
+    void addNode(const std::string &name, const std::string &dataCentre,
+                 std::uint64_t incarnation = 1)
+    {
+        MembershipOptions options;
+        options.m_node = name;
+        options.m_dataCentre = dataCentre;
+        options.m_address = name;
+        options.m_peerPort = 1;
+        options.m_incarnation = incarnation;
+        options.m_seed = stableHash(name) + incarnation;
+        options.m_mutant = m_mutant;
+        m_nodes[name].m_core = createMembershipCore(m_now, options);
+        m_nodes[name].m_running = true;
+        m_seeds.push_back({name, dataCentre, name, 1, 2});
+        for (std::pair<const std::string, Node> &node : m_nodes) {
+            updateSeeds(node.second.m_core, m_seeds);
+            updateTargets(node.second.m_core, m_now, m_targets);
+        }
+    }
+
+    void perform(const std::string &name, MembershipActions &actions)
+    {
+        for (MembershipAction &action : actions) {
+            if (SendGossip *send = std::get_if<SendGossip>(&action)) {
+                EXPECT_LE(estimateBytes(send->m_message), 1200U);
+                m_inFlight.push_back({name, std::move(*send)});
+            } else if (const PullMembership *pull = std::get_if<PullMembership>(&action)) {
+                pullState(name, pull->m_peer);
+            } else {
+                m_nodes[name].m_seen.push_back(std::move(action));
+            }
+        }
+    }
+
+    void pullState(const std::string &name, const std::string &peer)
+    {
+        if (!m_nodes[peer].m_running) {
+            return;
+        }
+        MembershipActions actions;
+        applySnapshot(m_nodes[name].m_core, m_now, takeSnapshot(m_nodes[peer].m_core, m_now),
+                      actions);
+        perform(name, actions);
+    }
+
+    void runFor(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (m_now < end) {
+            m_now += tick;
+            std::deque<Datagram> arriving;
+            arriving.swap(m_inFlight);
+            for (const Datagram &datagram : arriving) {
+                deliver(datagram);
+            }
+            for (std::pair<const std::string, Node> &node : m_nodes) {
+                if (node.second.m_running) {
+                    MembershipActions actions;
+                    advanceTime(node.second.m_core, m_now, actions);
+                    perform(node.first, actions);
+                }
+            }
+        }
+    }
+
+    void deliver(const Datagram &datagram)
+    {
+        const auto found = m_nodes.find(datagram.m_send.m_address);
+        if (found == m_nodes.end() || !found->second.m_running || nextRandomUnit(m_random) < m_loss
+            || (m_cut && (datagram.m_from[0] == 'a') != (found->first[0] == 'a'))) {
+            return;
+        }
+        MembershipActions actions;
+        handleGossip(found->second.m_core, m_now, datagram.m_from, 1, datagram.m_send.m_message,
+                     actions);
+        perform(found->first, actions);
+    }
+
+    MemberState stateAt(const std::string &observer, const std::string &name)
+    {
+        return m_nodes[observer].m_core.m_members.at(name).m_update.m_state;
+    }
+
+    template <typename Wanted> std::size_t countSeen(const std::string &name)
+    {
+        const std::vector<MembershipAction> &seen = m_nodes[name].m_seen;
+        return static_cast<std::size_t>(
+            std::count_if(seen.begin(), seen.end(), [](const MembershipAction &action) {
+                return std::holds_alternative<Wanted>(action);
+            }));
+    }
+
+    std::uint64_t sum(std::uint64_t MembershipStatistics::*figure)
+    {
+        std::uint64_t total = 0;
+        for (const std::pair<const std::string, Node> &node : m_nodes) {
+            total += node.second.m_core.m_statistics.*figure;
+        }
+        return total;
+    }
+
+    void addSixNodes()
+    {
+        for (const std::string name : {"a1", "a2", "a3", "b1", "b2", "b3"}) {
+            addNode(name, name.substr(0, 1));
+        }
+        runFor(second * 5);
+    }
+
+    TimePoint m_now{second * 1000};
+    RandomGenerator m_random{7};
+    double m_loss = 0.0;
+    bool m_cut = false; //!< Nodes whose names begin with "a" are cut off from the others.
+    MembershipMutant m_mutant = MembershipMutant::None;
+    std::map<std::string, Node> m_nodes;
+    std::deque<Datagram> m_inFlight;
+    std::vector<MembershipSeed> m_seeds;
+    std::vector<TargetPlace> m_targets;
+};
+
+// Guards against nodes that do not find each other from the seeds, and against dead nodes that
+// stay in use.
+TEST_F(MembershipTest, NodesFindEachOtherAndDetectALoss)
+{
+    addSixNodes();
+    for (const std::pair<const std::string, Node> &node : m_nodes) {
+        EXPECT_EQ(usableMembers(node.second.m_core, m_now).size(), 5U) << node.first;
+    }
+    m_nodes["a2"].m_running = false;
+    runFor(second * 9);
+    EXPECT_EQ(stateAt("a1", "a2"), MemberState::Dead);
+    EXPECT_EQ(stateAt("b3", "a2"), MemberState::Dead);
+    EXPECT_EQ(stateAt("a1", "a3"), MemberState::Alive);
+}
+
+// Guards against a node that stays dead for the others after its restart.
+TEST_F(MembershipTest, RestartedNodeIsAliveAgain)
+{
+    addSixNodes();
+    m_nodes["a2"].m_running = false;
+    runFor(second * 9);
+    addNode("a2", "a", 2);
+    runFor(second * 4);
+    EXPECT_EQ(stateAt("a1", "a2"), MemberState::Alive);
+    EXPECT_EQ(stateAt("b1", "a2"), MemberState::Alive);
+}
+
+// Guards against live nodes that are declared dead because datagrams are lost.
+TEST_F(MembershipTest, LossAloneKillsNobody)
+{
+    addSixNodes();
+    m_loss = 0.2;
+    runFor(second * 120);
+    EXPECT_EQ(sum(&MembershipStatistics::m_deaths), 0U);
+    EXPECT_GT(sum(&MembershipStatistics::m_refutations), 0U);
+}
+
+// Guards against a paused node that wakes up and declares all others dead.
+TEST_F(MembershipTest, PausedNodeDeclaresNobodyDead)
+{
+    addSixNodes();
+    m_nodes["a1"].m_running = false;
+    runFor(second * 20);
+    m_nodes["a1"].m_running = true;
+    runFor(second * 5);
+    EXPECT_EQ(m_nodes["a1"].m_core.m_statistics.m_deaths, 0U);
+    EXPECT_EQ(m_nodes["a1"].m_core.m_statistics.m_pauses, 1U);
+    EXPECT_EQ(stateAt("a2", "a1"), MemberState::Alive);
+    EXPECT_EQ(stateAt("b2", "a1"), MemberState::Alive);
+}
+
+// Guards against a cut that kills the nodes of the other data centre, and against a view that
+// still calls them usable.
+TEST_F(MembershipTest, CutDataCentreIsUnreachableButNotDead)
+{
+    addSixNodes();
+    m_cut = true;
+    runFor(second * 60);
+    EXPECT_EQ(stateAt("a1", "b1"), MemberState::Alive);
+    EXPECT_EQ(usableMembers(m_nodes["a1"].m_core, m_now).size(), 2U);
+    m_cut = false;
+    runFor(second * 10);
+    EXPECT_EQ(usableMembers(m_nodes["a1"].m_core, m_now).size(), 5U);
+    EXPECT_EQ(sum(&MembershipStatistics::m_deaths), 0U);
+}
+
+// Guards against a leaving node that is suspected first and keeps its roles meanwhile.
+TEST_F(MembershipTest, LeaveIsKnownWithoutSuspicion)
+{
+    addSixNodes();
+    const std::uint64_t suspicions = sum(&MembershipStatistics::m_suspicions);
+    MembershipActions actions;
+    leave(m_nodes["a2"].m_core, m_now, actions);
+    perform("a2", actions);
+    runFor(second * 1);
+    m_nodes["a2"].m_running = false;
+    runFor(second * 2);
+    EXPECT_EQ(stateAt("a1", "a2"), MemberState::Left);
+    EXPECT_EQ(stateAt("b1", "a2"), MemberState::Left);
+    EXPECT_EQ(sum(&MembershipStatistics::m_suspicions), suspicions);
+}
+
+// Guards against a list of VMs that lags and takes live nodes out of use.
+TEST_F(MembershipTest, VmListProvesNobodyDeadOrAlive)
+{
+    addSixNodes();
+    MembershipActions actions;
+    observeVms(m_nodes["a1"].m_core, m_now, {{"a2", "a2", "a", true}, {"x", "x", "a", false}},
+               actions);
+    EXPECT_TRUE(actions.empty());
+    EXPECT_EQ(stateAt("a1", "a2"), MemberState::Alive);
+    EXPECT_EQ(usableMembers(m_nodes["a1"].m_core, m_now).size(), 5U);
+}
+
+// Guards against a drain that some nodes learn too late to keep the bound of 3 s.
+TEST_F(MembershipTest, DrainAndQuarantineReachAllNodesAtOnce)
+{
+    m_targets = {{"t", "a"}};
+    addSixNodes();
+    MembershipActions actions;
+    shareDraining(m_nodes["a1"].m_core, m_now, "t", actions);
+    shareQuarantine(m_nodes["a1"].m_core, m_now, {42, 2, second * 600}, actions);
+    perform("a1", actions);
+    runFor(Duration(500'000));
+    for (const std::pair<const std::string, Node> &node : m_nodes) {
+        EXPECT_TRUE(node.second.m_core.m_targets.at("t").m_state.m_draining) << node.first;
+        EXPECT_EQ(node.second.m_core.m_quarantines.at(42).m_lostTargets, 2) << node.first;
+    }
+    EXPECT_EQ(countSeen<QuarantineLearned>("b1"), 1U);
+}
+
+// Guards against a drain that ends because the health of the target lags behind its replies.
+TEST_F(MembershipTest, LaggingHealthDoesNotEndADrain)
+{
+    m_targets = {{"t", "a"}};
+    addSixNodes();
+    MembershipCore &core = m_nodes["a1"].m_core;
+    MembershipActions actions;
+    handleTargetProbe(core, m_now, "t", TargetProbeResult{"s1", false, {{1, 1}}}, actions);
+    shareDraining(core, m_now, "t", actions);
+    handleTargetProbe(core, m_now, "t", TargetProbeResult{"s1", false, {{1, 1}}}, actions);
+    EXPECT_TRUE(core.m_targets.at("t").m_state.m_draining);
+    handleTargetProbe(core, m_now, "t", TargetProbeResult{"s2", false, {{1, 1}}}, actions);
+    EXPECT_FALSE(core.m_targets.at("t").m_state.m_draining);
+}
+
+// Guards against a target that is told unreachable after one lost probe, or in turn by probers
+// that disagree.
+TEST_F(MembershipTest, UnreachableTargetNeedsTwoFailuresAndNoRecentSuccess)
+{
+    m_targets = {{"t", "a"}};
+    addNode("a1", "a");
+    MembershipCore &core = m_nodes["a1"].m_core;
+    MembershipActions actions;
+    handleTargetProbe(core, m_now, "t", std::nullopt, actions);
+    EXPECT_TRUE(core.m_targets.at("t").m_state.m_reachable);
+    handleTargetProbe(core, m_now, "t", std::nullopt, actions);
+    EXPECT_FALSE(core.m_targets.at("t").m_state.m_reachable);
+    handleTargetProbe(core, m_now, "t", TargetProbeResult{"s1", false, {}}, actions);
+    for (int probe = 0; probe < 3; ++probe) {
+        handleTargetProbe(core, m_now, "t", std::nullopt, actions);
+    }
+    EXPECT_TRUE(core.m_targets.at("t").m_state.m_reachable);
+    handleTargetProbe(core, m_now + second * 11, "t", std::nullopt, actions);
+    EXPECT_FALSE(core.m_targets.at("t").m_state.m_reachable);
+}
+
+// Guards against targets that nobody or everybody probes.
+TEST_F(MembershipTest, ThreeNodesOfItsDataCentreProbeATarget)
+{
+    m_targets = {{"ta", "a"}, {"tb", "b"}};
+    addSixNodes();
+    addNode("a4", "a");
+    addNode("a5", "a");
+    runFor(second * 5);
+    std::map<std::string, int> probers;
+    for (const std::pair<const std::string, Node> &node : m_nodes) {
+        for (const std::pair<const std::string, TargetEntry> &target :
+             node.second.m_core.m_targets) {
+            probers[target.first] += target.second.m_isProber ? 1 : 0;
+            EXPECT_TRUE(!target.second.m_isProber
+                        || node.second.m_core.m_options.m_dataCentre == target.second.m_dataCentre);
+        }
+    }
+    EXPECT_EQ(probers["ta"], 3);
+    EXPECT_EQ(probers["tb"], 3);
+}
+
+// Guards against control traffic that grows beyond its limit when much changes at once.
+TEST_F(MembershipTest, BytesStayWithinTheLimitWhileAllTargetsChange)
+{
+    for (int index = 0; index < 200; ++index) {
+        m_targets.push_back({"target-" + std::to_string(index), "a"});
+    }
+    addSixNodes();
+    for (std::pair<const std::string, Node> &node : m_nodes) {
+        node.second.m_core.m_statistics.m_bytes = 0;
+    }
+    for (std::uint64_t round = 1; round <= 10; ++round) {
+        for (const TargetPlace &place : m_targets) {
+            MembershipActions actions;
+            handleTargetProbe(m_nodes["a1"].m_core, m_now, place.m_target,
+                              TargetProbeResult{"s", false, {{1, round}}}, actions);
+            perform("a1", actions);
+        }
+        runFor(second);
+    }
+    for (const std::pair<const std::string, Node> &node : m_nodes) {
+        EXPECT_LE(node.second.m_core.m_statistics.m_bytes, 2500U * 10U + 5000U) << node.first;
+        EXPECT_EQ(node.second.m_core.m_statistics.m_dropped, 0U) << node.first;
+    }
+}
+
+// Guards against operators who cannot see which nodes are behind.
+TEST_F(MembershipTest, RevisionsOfAllNodesAreKnownEverywhere)
+{
+    addSixNodes();
+    MembershipActions actions;
+    shareRevision(m_nodes["b1"].m_core, m_now, 17, actions);
+    perform("b1", actions);
+    runFor(Duration(1'500'000));
+    EXPECT_EQ(m_nodes["a3"].m_core.m_members.at("b1").m_update.m_revision, 17);
+    EXPECT_GE(countSeen<PeerRevisionSeen>("b2"), 1U);
+}
+
+} // namespace
+} // namespace arbutusgrade
