Add the encoding of messages between nodes

Cause: the membership and configuration cores need their messages on the wire, from a network that may send anything.

Ruled out: the cores' structs generated by Thrift (the cores would depend on the codec).

Change: libs/wire with encode and decode for gossip, pulls and replies, frame headers, limits on counts, lengths and value ranges. peer.thrift gains the revision and accuser of a member, the age of store contact, refusals of indirect probes, and request and reply frames with an id.

--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -41,7 +41,7 @@
 
 std::size_t bytesOf(const TargetState &state) noexcept
 {
-    return textBytes(state.m_target) + textBytes(state.m_startId) + numberBytes + 6
+    return textBytes(state.m_target) + state.m_startId.size() + textOverheadBytes + numberBytes + 6
            + state.m_holdings.size() * (2 * numberBytes + 1);
 }
 
--- /dev/null
+++ b/libs/wire/include/wire/wire.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/base.h"
+#include "membership/membership.h"
+
+//! @brief Encoding of the messages between nodes: Thrift compact protocol, and frames for TCP.
+//!
+//! Input from the network is never trusted: malformed input gives an error, without an exception
+//! and without an allocation that its own length does not justify.
+namespace arbutusgrade {
+
+//! @brief Largest body of a frame.
+inline constexpr std::uint32_t frameLimitBytes = 4'194'304;
+
+inline constexpr std::size_t frameHeaderBytes = 4;
+
+enum class WireError { Malformed, TooLarge };
+
+std::string_view wireErrorName(WireError error) noexcept;
+
+//! @brief A value or an error; to take the value of an error is a fault that ends the program.
+template <typename Value>
+using Decoded = outcome::std_result<Value, WireError, outcome::policy::terminate>;
+
+//! @brief Asks a peer for its configuration, its state of the cluster, or both.
+struct PullRequest
+{
+    std::string m_sender;
+    std::int64_t m_revision = 0; //!< In force at the sender.
+    bool m_wantConfiguration = false;
+    bool m_wantState = false;
+};
+
+struct PullReply
+{
+    std::string m_sender;
+    std::int64_t m_revision = 0; //!< In force at the answering node; 0 if none or the files.
+    std::optional<std::string> m_configuration; //!< Text of the document of that revision.
+    MembershipSnapshot m_state;
+};
+
+//! @brief One frame from the node that opened the connection.
+struct PeerRequest
+{
+    std::uint64_t m_id = 0; //!< Repeated by the reply.
+    std::optional<PullRequest> m_pull;
+};
+
+struct PeerReply
+{
+    std::uint64_t m_id = 0;
+    std::optional<PullReply> m_pull;
+};
+
+std::string encodeGossip(const GossipMessage &message);
+Decoded<GossipMessage> decodeGossip(std::string_view bytes);
+
+std::string encodeRequest(const PeerRequest &request);
+Decoded<PeerRequest> decodeRequest(std::string_view bytes);
+
+std::string encodeReply(const PeerReply &reply);
+Decoded<PeerReply> decodeReply(std::string_view bytes);
+
+//! @brief Header of a frame: the length of its body, big-endian.
+std::array<std::uint8_t, frameHeaderBytes> encodeFrameHeader(std::uint32_t length) noexcept;
+
+//! @brief Length of the body; an error if it exceeds the limit.
+Decoded<std::uint32_t> decodeFrameHeader(
+    std::span<const std::uint8_t, frameHeaderBytes> header) noexcept;
+
+} // namespace arbutusgrade
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -18,6 +18,8 @@
     5: optional string address,
     6: optional i32 peerPort,
     7: optional i32 callerPort,
+    8: optional i64 revision,
+    9: optional string accuser,
 }
 
 struct SnapshotHeld {
@@ -25,7 +27,7 @@
     2: i64 version,
 }
 
-// State of a target as seen by one of its probers. The highest sequence of one start wins.
+// State of a target as seen by its probers. The highest sequence wins.
 struct TargetUpdate {
     1: string target,
     2: string startId,
@@ -46,6 +48,7 @@
     ACK = 2,
     PING_REQUEST = 3,
     PUSH = 4,
+    NACK = 5,
 }
 
 struct Gossip {
@@ -58,6 +61,7 @@
     7: list<MemberUpdate> members,
     8: list<TargetUpdate> targets,
     9: list<QuarantineUpdate> quarantines,
+    10: optional i32 storeContactAgeMilliseconds,
 }
 
 struct StatePull {
@@ -75,3 +79,15 @@
     5: list<TargetUpdate> targets,
     6: list<QuarantineUpdate> quarantines,
 }
+
+// One frame from the node that opened the connection; one of the optional fields is set.
+struct PeerRequest {
+    1: i64 id,
+    2: optional StatePull pull,
+}
+
+// The answer repeats the id of the request.
+struct PeerReply {
+    1: i64 id,
+    2: optional StateReply state,
+}
