Add the load tool

Tail latency, coverage and extra load need an open-loop measurement: the tool draws all sending times beforehand, counts latency from them, and checks each answer against G1 to G3 by what the answer itself shows.

--- a/standins/target-standin/target.cpp
+++ b/standins/target-standin/target.cpp
@@ -482,41 +482,13 @@
 
 json::object Target::statistics() const
 {
-    json::object shards;
-    for (const std::pair<const std::string, std::uint64_t> &count :
-         m_statistics.m_executionsByShard) {
-        shards[count.first] = count.second;
-    }
-    json::object once;
-    std::uint64_t mostOnce = 0;
-    for (const std::pair<const std::string, std::uint64_t> &count : m_statistics.m_onceExecutions) {
-        once[count.first] = count.second;
-        mostOnce = std::max(mostOnce, count.second);
-    }
-    return {{"port", m_port},
-            {"starts", m_starts},
-            {"executions", m_statistics.m_executions},
-            {"completed", m_statistics.m_completed},
-            {"shed", m_statistics.m_shed},
-            {"refusedDraining", m_statistics.m_refusedDraining},
-            {"snapshotGone", m_statistics.m_snapshotGone},
-            {"expired", m_statistics.m_expired},
-            {"cancelled", m_statistics.m_cancelled},
-            {"cancelRequests", m_statistics.m_cancelRequests},
-            {"ambiguousCancels", m_statistics.m_ambiguousCancels},
-            {"errors", m_statistics.m_errors},
-            {"crossed", m_statistics.m_crossed},
-            {"doubled", m_statistics.m_doubled},
-            {"crashes", m_statistics.m_crashes},
-            {"malformed", m_statistics.m_malformed},
-            {"startedAfterDrain", m_statistics.m_startedAfterDrain},
-            {"arrivedAfterDrainMs", m_statistics.m_arrivedAfterDrainMs},
-            {"connections", m_server.openConnections()},
-            {"maximumConnections", m_server.maximumConnections()},
-            {"refusedConnections", m_server.refusedConnections()},
-            {"executionsByShard", shards},
-            {"mostOnceExecutions", mostOnce},
-            {"onceExecutions", once}};
+    json::object body = statisticsBody(m_statistics);
+    body["port"] = m_port;
+    body["starts"] = m_starts;
+    body["connections"] = m_server.openConnections();
+    body["maximumConnections"] = m_server.maximumConnections();
+    body["refusedConnections"] = m_server.refusedConnections();
+    return body;
 }
 
 } // namespace arbutusgrade::standins
--- a/tests/standinstest.cpp
+++ b/tests/standinstest.cpp
@@ -8,6 +8,7 @@
 #include "support/faultproxy.h"
 #include "support/httpclient.h"
 #include "support/process.h"
+#include "support/site.h"
 
 namespace arbutusgrade::support {
 namespace {
@@ -188,5 +189,19 @@
     EXPECT_FALSE(platform.m_process.running());
 }
 
+// Guards against plans whose settings a daemon would refuse.
+TEST(Site, SettingsOfAllPlansAreAccepted)
+{
+    for (const SitePlan &plan : {sendernettPlan(9), kilwaPlan(8), fanOutPlan(3, 30)}) {
+        const Site site(plan, programs);
+        const std::string text = site.settingsText();
+        const Checked<Settings> settings =
+            parseSettings(SettingsSource{"base.yaml", text}, SettingsSource{});
+        ASSERT_TRUE(settings.has_value()) << formatFinding(settings.error().front());
+        EXPECT_EQ(settings.value().m_nodes.size(), static_cast<std::size_t>(plan.m_nodes));
+        EXPECT_EQ(settings.value().m_groups.size(), plan.m_groups.size());
+    }
+}
+
 } // namespace
 } // namespace arbutusgrade::support
--- a/tests/support/include/support/site.h
+++ b/tests/support/include/support/site.h
@@ -73,6 +73,9 @@
     const SitePlan &plan() const;
     std::uint16_t storePort() const;
 
+    //! @brief The base file that all nodes share.
+    std::string settingsText() const;
+
     void startNode(int node);
     //! @brief Starts all nodes and waits until they are ready; throws std::runtime_error if not.
     void startNodes();
@@ -116,7 +119,6 @@
 
     void startStore();
     void startTargets(const GroupPlan &group);
-    std::string settingsText() const;
     std::uint16_t targetPort(std::string_view group, int number) const;
     const Host &findHost(std::string_view group, int number) const;
     const GroupPlan &findGroup(std::string_view name) const;
--- /dev/null
+++ b/tools/arbutusgrade-load/tests/loadtest.cpp
@@ -0,0 +1,145 @@
+#include "load.h"
+
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+#include "standins/httpserver.h"
+
+namespace arbutusgrade::load {
+namespace {
+
+std::string answer(const std::string &included, const std::string &lacking,
+                   const std::string &entries)
+{
+    return R"({"requestId":"r1","outcome":"complete","snapshot":{"epoch":1,"version":7},)"
+           R"("coverage":{"included":[)"
+           + included + R"(],"lacking":[)" + lacking + R"(]},"entries":[)" + entries + "]}";
+}
+
+std::string entry(const std::string &record, const std::string &request, int version)
+{
+    return R"({"record":")" + record + R"(","requestId":")" + request + R"(","epoch":1,"version":)"
+           + std::to_string(version) + "}";
+}
+
+std::string check(const std::string &body)
+{
+    Sample sample;
+    return readAnswer(200, body, "r1", true, sample);
+}
+
+// Guards against load runs that pass although answers break G1, G2 or G3.
+TEST(ReadAnswer, NamesTheGuaranteeThatAnAnswerBreaks)
+{
+    EXPECT_EQ(check(answer(R"("a")", "", entry("a/0", "r1", 7))), "");
+    EXPECT_NE(check(answer(R"("a")", "", entry("a/0", "r2", 7))), "") << "crossed entry";
+    EXPECT_NE(check(answer(R"("a")", "", entry("a/0", "r1", 8))), "") << "other snapshot";
+    EXPECT_NE(check(answer(R"("a","b")", "", entry("a/0", "r1", 7))), "") << "shard not in entries";
+    EXPECT_NE(check(answer(R"("a")", R"({"shard":"a"})", entry("a/0", "r1", 7))), "")
+        << "shard in both lists";
+    EXPECT_NE(check(answer(R"("a")", R"({"shard":"b"})", entry("a/0", "r1", 7))), "")
+        << "complete with a lacking shard";
+    EXPECT_NE(check(answer(R"("a")", "", entry("a/0", "r1", 7) + "," + entry("a/0", "r1", 7))), "")
+        << "merged twice";
+}
+
+// Guards against outcomes that callers would take for others by the status alone.
+TEST(ReadAnswer, StatusMustFitTheOutcome)
+{
+    Sample sample;
+    EXPECT_EQ(readAnswer(503, R"({"requestId":"r1","outcome":"not-run"})", "r1", true, sample), "");
+    EXPECT_EQ(sample.m_outcome, "not-run");
+    EXPECT_NE(readAnswer(502, R"({"requestId":"r1","outcome":"not-run"})", "r1", true, sample), "");
+    EXPECT_EQ(readAnswer(0, "", "r1", true, sample), "");
+    EXPECT_EQ(sample.m_outcome, "no-answer");
+}
+
+// Guards against runs that cannot be repeated, and rates that are not those asked for.
+TEST(DrawArrivals, SameSeedSameTimesAtTheRateGiven)
+{
+    LoadOptions options;
+    options.m_rate = 1000;
+    options.m_length = std::chrono::seconds(10);
+    const std::vector<Duration> poisson = drawArrivals(options);
+    EXPECT_EQ(poisson, drawArrivals(options));
+    EXPECT_NEAR(static_cast<double>(poisson.size()), 10000, 400);
+    options.m_arrivals = Arrivals::Fixed;
+    EXPECT_NEAR(static_cast<double>(drawArrivals(options).size()), 10000, 1);
+}
+
+// Guards against quantiles that leave out the slowest answers or count the warm-up.
+TEST(Summarise, CountsOnlyTheMeasuredPartAndItsQuantiles)
+{
+    LoadResult result;
+    result.m_mix = {KindLoad{"search", 1, ""}};
+    result.m_length = std::chrono::seconds(1);
+    for (int i = 1; i <= 1000; ++i) {
+        Sample sample;
+        sample.m_outcome = i > 990 ? "partial" : "complete";
+        sample.m_latency = std::chrono::milliseconds(i);
+        sample.m_included = i > 990 ? 9 : 10;
+        sample.m_lacking = i > 990 ? 1 : 0;
+        result.m_samples.push_back(sample);
+    }
+    result.m_samples.front().m_intended = Duration(-1);
+    const KindSummary summary = summarise(result).front();
+    EXPECT_EQ(summary.m_sent, 999U);
+    EXPECT_EQ(summary.m_p99, std::chrono::milliseconds(991));
+    EXPECT_EQ(summary.m_maximum, std::chrono::milliseconds(1000));
+    EXPECT_NEAR(summary.m_coverage, 1.0 - 10.0 / 9990.0, 1e-9);
+}
+
+// Guards against latencies that count from the actual sending and so hide a stall of a daemon.
+TEST(RunLoad, AStallShowsInAllRequestsThatWereDueInIt)
+{
+    boost::asio::io_context context(1);
+    const std::chrono::steady_clock::time_point end =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+    std::vector<std::unique_ptr<boost::asio::steady_timer>> timers;
+    standins::HttpServer server(
+        context, [&](const standins::HttpRequest &request, const standins::Responder &responder) {
+            if (request.m_method == "GET") {
+                responder(standins::HttpResponse{200, "{}"});
+                return;
+            }
+            timers.push_back(std::make_unique<boost::asio::steady_timer>(context, end));
+            timers.back()->async_wait([responder](boost::system::error_code) {
+                responder(standins::HttpResponse{503, R"({"outcome":"not-run"})"});
+            });
+        });
+    LoadOptions options;
+    options.m_nodes = {NodeAddress{"127.0.0.1", server.listen(0)}};
+    options.m_mix = {KindLoad{"search", 1, ""}};
+    options.m_rate = 100;
+    options.m_arrivals = Arrivals::Fixed;
+    options.m_length = std::chrono::milliseconds(300);
+    options.m_balancerPoll = Duration(0);
+    std::thread thread([&context] { context.run(); });
+    const LoadResult result = runLoad(options);
+    context.stop();
+    thread.join();
+    ASSERT_EQ(result.m_samples.size(), 29U);
+    for (const Sample &sample : result.m_samples) {
+        EXPECT_GT(sample.m_intended + sample.m_latency, std::chrono::milliseconds(400));
+    }
+}
+
+// Guards against a bound that passes because its figure is missing or its sign is misread.
+TEST(CheckBounds, BrokenAndMissingFiguresFail)
+{
+    const Ratios figures{{"search", {{"p99Ms", 2.1}}}};
+    std::string text;
+    EXPECT_TRUE(checkBounds({*parseBound("search.p99Ms<=2.2")}, figures, text));
+    EXPECT_FALSE(checkBounds({*parseBound("search.p99Ms<=2")}, figures, text));
+    EXPECT_FALSE(checkBounds({*parseBound("search.p99Ms>=2.2")}, figures, text));
+    EXPECT_FALSE(checkBounds({*parseBound("search.p50Ms<=2")}, figures, text));
+    EXPECT_FALSE(parseBound("search.p99Ms<2").has_value());
+    EXPECT_FALSE(parseBound("search<=2").has_value());
+}
+
+} // namespace
+} // namespace arbutusgrade::load
