--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -274,4 +274,8 @@
 //! Keeps opaque values as they are, and shows duplicate keys, which a parsed object hides.
 std::vector<JsonMember> splitJsonObject(std::string_view text);
 
+//! @brief Text of the last direct member with the key, written without escapes; empty if absent.
+//! The text is that of an object which a parser has accepted.
+std::string_view findJsonMember(std::string_view text, std::string_view key);
+
 } // namespace arbutusgrade
--- a/libs/transport/src/jsontext.cpp
+++ b/libs/transport/src/jsontext.cpp
@@ -56,14 +56,12 @@
     return text;
 }
 
-} // namespace
-
-std::vector<JsonMember> splitJsonObject(std::string_view text)
+//! @brief Calls the visitor with each direct member of the object.
+template <typename Visitor> void visitMembers(std::string_view text, Visitor visit)
 {
-    std::vector<JsonMember> members;
     std::size_t position = text.find('{');
     if (position == std::string_view::npos) {
-        return members;
+        return;
     }
     ++position;
     skipSpace(text, position);
@@ -78,11 +76,30 @@
         const std::size_t valueStart = position;
         skipValue(text, position);
         member.m_value = trimmed(text.substr(valueStart, position - valueStart));
-        members.push_back(member);
+        visit(member);
         ++position; // The comma or closing brace.
         skipSpace(text, position);
     }
+}
+
+} // namespace
+
+std::vector<JsonMember> splitJsonObject(std::string_view text)
+{
+    std::vector<JsonMember> members;
+    visitMembers(text, [&members](const JsonMember &member) { members.push_back(member); });
     return members;
 }
 
+std::string_view findJsonMember(std::string_view text, std::string_view key)
+{
+    std::string_view value;
+    visitMembers(text, [&value, key](const JsonMember &member) {
+        if (member.m_key.substr(1, member.m_key.size() - 2) == key) {
+            value = member.m_value;
+        }
+    });
+    return value;
+}
+
 } // namespace arbutusgrade
--- a/libs/transport/src/targetmessages.cpp
+++ b/libs/transport/src/targetmessages.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/json/monotonic_resource.hpp>
 #include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 
 namespace arbutusgrade {
 
@@ -176,14 +175,15 @@
     return std::nullopt;
 }
 
-bool takeEntries(const json::object &object, std::string &entries)
+//! @brief Takes the entries as the target wrote them, which is cheaper than writing them anew.
+bool takeEntries(const json::object &object, std::string_view body, std::string &entries)
 {
     const json::value *value = find(object, "entries");
     if (value == nullptr || !value->is_array()) {
         return false;
     }
-    entries = json::serialize(*value);
-    return true;
+    entries = findJsonMember(body, "entries");
+    return entries.starts_with('[');
 }
 
 } // namespace
@@ -267,7 +267,7 @@
     parsed.m_startId = textOf(object, "startId");
     if (parsed.m_status == AttemptStatus::Ok) {
         const std::optional<Snapshot> snapshot = snapshotOf(find(object, "snapshot"));
-        if (!snapshot || !takeEntries(object, parsed.m_entries)) {
+        if (!snapshot || !takeEntries(object, reply.m_body, parsed.m_entries)) {
             return std::nullopt;
         }
         parsed.m_snapshot = *snapshot;
--- a/tools/arbutusgraded/main.cpp
+++ b/tools/arbutusgraded/main.cpp
@@ -97,7 +97,8 @@
 
 int run(const arbutusgrade::Settings &settings)
 {
-    boost::asio::io_context context(1);
+    // Everything runs on this thread, so the locks around sockets would only cost time.
+    boost::asio::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO);
     const arbutusgrade::NodeOptions options = nodeOptions();
     arbutusgrade::Log log({options.m_node, absl::GetFlag(FLAGS_log_file)});
     arbutusgrade::NodeShell shell(context, options, log);
