--- a/libs/query/benchmarks/simulation.cpp
+++ b/libs/query/benchmarks/simulation.cpp
@@ -402,8 +402,12 @@
     if (elapsedSeconds(simulation) < options.m_seconds) {
         addEvent(simulation, makeEvent(EventKind::Submit, simulation.m_now + milliseconds(gap)));
     }
-    const int node = static_cast<int>(
-        nextRandomBelow(simulation.m_random, static_cast<std::uint64_t>(options.m_nodes)));
+    int node = 0;
+    // Callers are sent away from a paused node, so the figures show its effect on the others.
+    do {
+        node = static_cast<int>(
+            nextRandomBelow(simulation.m_random, static_cast<std::uint64_t>(options.m_nodes)));
+    } while (simulation.m_nodes[static_cast<std::size_t>(node)].m_pausedUntil > simulation.m_now);
     CallerRequest request;
     request.m_caller = ++simulation.m_callers;
     request.m_requestId = "r" + std::to_string(request.m_caller);
--- a/libs/query/src/admission.cpp
+++ b/libs/query/src/admission.cpp
@@ -89,7 +89,11 @@
     }
     ++engine.m_statistics.m_evictions;
     if (hasMutant(engine, QueryMutant::LoseQueuedRequest)) {
-        dequeueShard(engine, *request, request->m_shards[last.m_shard]);
+        for (SubRequest &shard : request->m_shards) {
+            dequeueShard(engine, *request, shard);
+        }
+        --engine.m_unanswered;
+        removeRequest(engine, *request);
         return;
     }
     if (request->m_mode == AnswerMode::Once) {
--- a/libs/query/src/timers.cpp
+++ b/libs/query/src/timers.cpp
@@ -27,6 +27,9 @@
         return;
     }
     if (request->m_mode == AnswerMode::Once) {
+        if (request->m_sent == 0 && hasMutant(engine, QueryMutant::SendAfterDeadline)) {
+            return;
+        }
         expireOnce(engine, event, *request);
         return;
     }
