--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -33,6 +33,9 @@
 Settings checkMerged(YamlNode base, const YamlNode &overlay, FindingList &findings)
 {
     const bool hasSite = checkSite(overlay, findings);
+    if (overlay.m_kind != NodeKind::Map) {
+        return {};
+    }
     applyOverlay(base, overlay, findings);
     expandCompactForms(base, findings);
     return decodeSettings(base, hasSite, findings);
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -10,9 +10,11 @@
 namespace arbutusgrade {
 namespace {
 
+using testing::AllOf;
 using testing::Contains;
 using testing::ElementsAre;
 using testing::HasSubstr;
+using testing::Not;
 
 // A small base that uses most keys. Each test replaces one line of it.
 constexpr std::string_view smallBase = R"(firm: Testfirma
@@ -176,10 +178,12 @@
         {"site: east\nnodes: [{peerPort: 2}]", "o:2:9: each item needs a 'name'"},
         {"site: east\nkinds: [{name: order, mode: single}]", "o:2:23: 'mode' must be the same at"},
         {"site: east\nnodes: [{name: west-1, address: 10.0.1.1}]", "'10.0.1.1:81' is used twice"},
+        {"- site: east", "o:1:1: a map of keys is needed here, not a list"},
         {"site: east\nstore:", "o:2:1: 'store' has no value"},
     };
     for (const std::pair<std::string_view, std::string_view> &fault : cases) {
-        EXPECT_THAT(findingsOf(smallBase, fault.first), Contains(HasSubstr(fault.second)))
+        EXPECT_THAT(findingsOf(smallBase, fault.first),
+                    AllOf(Contains(HasSubstr(fault.second)), Not(Contains(HasSubstr(":0:0:")))))
             << fault.first;
     }
 }
