--- a/libs/administration/include/administration/administration.h
+++ b/libs/administration/include/administration/administration.h
@@ -37,7 +37,7 @@
 {
     std::string m_name;
     std::string m_dataCentre;
-    std::string m_state;         //!< "alive", "suspect", "dead" or "leaving".
+    std::string m_state;         //!< "alive", "suspect", "dead" or "left".
     std::int64_t m_revision = 0; //!< Revision in force there; -1 if not known.
 };
 
