--- a/tools/arbutusgrade-load/load.h
+++ b/tools/arbutusgrade-load/load.h
@@ -55,6 +55,7 @@
 //! @brief One request, once it has ended.
 struct Sample
 {
+    std::string m_id;       //!< Request id.
     std::size_t m_kind = 0; //!< Index in the mix.
     Duration m_intended{0}; //!< Since the start of the measured part; negative in the warm-up.
     Duration m_latency{0};
--- a/tools/arbutusgrade-load/loadrun.cpp
+++ b/tools/arbutusgrade-load/loadrun.cpp
@@ -139,6 +139,7 @@
                         + std::to_string(m_next);
         request->m_intended = intended;
         request->m_sample.m_kind = request->m_kind;
+        request->m_sample.m_id = request->m_id;
         ++m_waiting;
         send(request);
     }
