--- a/tests/nodefailuretest.cpp
+++ b/tests/nodefailuretest.cpp
@@ -37,6 +37,7 @@
         makeLoad(site, "fault-history-search:3,manual-fetch:1,work-order:2", 60, 13);
     std::vector<std::optional<ExitState>> ends(3);
     std::vector<load::TimedAction> actions;
+    actions.reserve(3);
     for (int node = 0; node < 3; ++node) {
         actions.push_back({seconds(1 + 4 * node), [&site, &ends, node] {
                                site.node(node).sendSignal(SIGTERM);
