Refuse compact targets without a data centre; bound the time of reads

Cause: 'dataCentres: []' in a compact form made an empty list of targets without a finding, so such a base passed. A frozen node held each read of arbutusgradectl for 10 s, longer than the settle time of a change. Conclusion: a base that passes has a target for each service.

--- a/libs/settings/src/compactforms.cpp
+++ b/libs/settings/src/compactforms.cpp
@@ -72,6 +72,9 @@
     if (list == nullptr) {
         return;
     }
+    if (list->m_items.empty()) {
+        addFinding(*reader.m_findings, list->m_place, "'dataCentres' must not be empty");
+    }
     plan.m_dataCentres.clear();
     for (const YamlNode &item : list->m_items) {
         const std::optional<std::string> name = nameOf(item, *reader.m_findings);
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -141,6 +141,8 @@
          "count: 3\n      namePrefix: faults-\n      targets: {count: 9000,",
          "compact forms ask for more than 20000 targets"},
         {"10.0.1.10,", "223.255.255.255,", "b:14:16: so many targets go past the last address"},
+        {"{count: 2, f", "{count: 2, dataCentres: [], f", "b:14:40: 'dataCentres' must not be"},
+        {"{count: 2, f", "{count: 2, dataCentres: [no], f", "there is no data centre 'no'"},
         {", west: 10.0.2.10", "", "b:14:43: key 'west' is missing"},
         {"group: faults, mode", "group: fault, mode", "there is no group 'fault' (did you mean"},
         {"mode: complete", "mode: full", "b:22:41: 'mode' must be complete, best-by-deadline"},
--- a/tools/arbutusgradectl/changecommands.cpp
+++ b/tools/arbutusgradectl/changecommands.cpp
@@ -22,6 +22,7 @@
     call.m_path = std::move(path);
     call.m_body = std::move(body);
     call.m_token = options.m_token;
+    call.m_answerTimeout = call.m_method == "GET" ? readTimeout : call.m_answerTimeout;
     return call;
 }
 
--- a/tools/arbutusgradectl/client.h
+++ b/tools/arbutusgradectl/client.h
@@ -17,6 +17,9 @@
     std::uint16_t m_port = 0;
 };
 
+//! Reads are answered from memory; a node that takes longer is passed over.
+inline constexpr std::chrono::milliseconds readTimeout{2'000};
+
 struct HttpCall
 {
     std::string m_method = "GET";
--- a/tools/arbutusgradectl/querycommand.cpp
+++ b/tools/arbutusgradectl/querycommand.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include <algorithm>
 #include <ostream>
 
 #include <boost/json.hpp>
@@ -92,7 +93,9 @@
     call.m_path = "/v1/query";
     call.m_body = json::serialize(makeQuery(options, requestId, payload));
     call.m_token = options.m_token;
-    call.m_answerTimeout = options.m_timeout;
+    // The node answers at the deadline at the latest; the rest covers the way there and back.
+    const std::chrono::milliseconds deadline(options.m_deadlineMilliseconds.value_or(0));
+    call.m_answerTimeout = std::max(options.m_timeout, deadline + std::chrono::seconds(1));
     // The kind may be one that runs only once, so a request that may have run is not sent again.
     const HttpAnswer answer = callAnyNode(options.m_nodes, call, Repeat::Forbidden);
     if (answer.m_result == CallResult::NoAnswer) {
--- a/tools/arbutusgradectl/readcommands.cpp
+++ b/tools/arbutusgradectl/readcommands.cpp
@@ -17,6 +17,7 @@
     HttpCall call;
     call.m_path = std::move(path);
     call.m_token = options.m_token;
+    call.m_answerTimeout = readTimeout;
     return call;
 }
 
