Join membership and configuration to the node

Cause: the cores of membership and configuration had no sockets, store or request path.

Ruled out: files in libs/node (its public header would depend on Thrift and the peer sockets); a drain at revision 0 (a node has the overlay of its own site only and would drop the others).

Change: libs/cluster with one NodeService for both cores and the routes under /v1/admin/. The shared state of a target is named SharedTarget, since TargetState is a struct of libs/targets.

--- /dev/null
+++ b/libs/cluster/src/clusterservice.cpp
@@ -0,0 +1,284 @@
+#include <algorithm>
+
+#include "details/clusterservice.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+constexpr Duration refreshInterval{1'000'000};
+//! Timers of both cores that are closer together run at once.
+constexpr Duration shortestTimer{10'000};
+constexpr Duration pullTimeout{2'000'000};
+
+MembershipOptions membershipOptions(const ClusterOptions &options, const NodeSettings &self)
+{
+    MembershipOptions result;
+    result.m_node = self.m_name;
+    result.m_dataCentre = self.m_dataCentre;
+    result.m_address = self.m_address;
+    result.m_peerPort = self.m_peerPort;
+    result.m_callerPort = self.m_callerPort;
+    result.m_incarnation = options.m_incarnation;
+    result.m_seed = options.m_seed;
+    return result;
+}
+
+ConfigurationOptions configurationOptions(const ClusterOptions &options, const NodeSettings &self)
+{
+    ConfigurationOptions result;
+    result.m_node = self.m_name;
+    result.m_dataCentre = self.m_dataCentre;
+    result.m_seed = options.m_seed;
+    result.m_baseText = options.m_baseText;
+    result.m_overlayText = options.m_overlayText;
+    return result;
+}
+
+} // namespace
+
+std::unique_ptr<NodeService> createClusterService(NodeShell &shell, const ClusterOptions &options,
+                                                  std::string &error)
+{
+    const std::vector<NodeSettings> &nodes = options.m_files.m_nodes;
+    const auto self =
+        std::find_if(nodes.begin(), nodes.end(), [&options](const NodeSettings &node) {
+            return node.m_name == options.m_node;
+        });
+    if (self == nodes.end()) {
+        error = "the settings have no node named " + options.m_node;
+        return nullptr;
+    }
+    return std::make_unique<ClusterService>(shell, options, *self);
+}
+
+ClusterService::ClusterService(NodeShell &shell, const ClusterOptions &options,
+                               const NodeSettings &self)
+    : m_shell(shell), m_options(options), m_self(self),
+      m_membership(createMembershipCore(steadyNow(), membershipOptions(options, self))),
+      m_configuration(createConfigurationCore(steadyNow(), configurationOptions(options, self))),
+      m_socket(
+          shell.context(),
+          [this](const std::string &address, std::uint16_t port, const GossipMessage &message) {
+              feedMembership([&](TimePoint now, MembershipActions &actions) {
+                  handleGossip(m_membership, now, address, port, message, actions);
+              });
+          }),
+      m_server(shell.context(),
+               [this](const PeerRequest &request, const PeerResponder &respond) {
+                   respond(answerPull(request));
+               }),
+      m_timer(shell.context())
+{
+    m_configuration.m_invariants.m_observer = [this](Invariant invariant, std::string_view detail) {
+        m_shell.log().write(LogLevel::Error, "invariant-violated", detail,
+                            {{"invariant", invariantName(invariant)}});
+    };
+    feedSeeds(m_options.m_files);
+    listenToShell();
+    addRoutes();
+}
+
+void ClusterService::start()
+{
+    if (m_socket.open(m_self.m_address, m_self.m_peerPort, m_startError) == 0
+        || m_server.listen(m_self.m_address, m_self.m_peerPort, m_startError) == 0) {
+        m_shell.log().write(LogLevel::Error, "peer-port-failed", m_startError);
+        return;
+    }
+    refreshMembers(steadyNow());
+    advance();
+}
+
+void ClusterService::stop()
+{
+    feedMembership(
+        [this](TimePoint now, MembershipActions &actions) { leave(m_membership, now, actions); });
+}
+
+void ClusterService::tick(TimePoint /*now*/)
+{
+    if (m_startError.empty()) {
+        advance();
+    }
+}
+
+void ClusterService::advance()
+{
+    feedMembership([this](TimePoint now, MembershipActions &actions) {
+        advanceTime(m_membership, now, actions);
+    });
+    const TimePoint now = steadyNow();
+    if (now >= m_nextRefresh) {
+        refreshMembers(now);
+    }
+    feedConfiguration([this](TimePoint at, ConfigurationActions &actions) {
+        advanceTime(m_configuration, at, actions);
+    });
+    if (m_configuration.m_storeContact) {
+        noteStoreContact(m_membership, *m_configuration.m_storeContact);
+    }
+    armTimer();
+}
+
+void ClusterService::armTimer()
+{
+    const TimePoint wanted = std::min(nextWakeUp(m_membership), nextWakeUp(m_configuration));
+    m_timer.expires_at(std::max(wanted, steadyNow() + shortestTimer));
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            advance();
+        }
+    });
+}
+
+void ClusterService::refreshMembers(TimePoint now)
+{
+    m_nextRefresh = now + refreshInterval;
+    std::vector<ConfigurationMember> members;
+    for (const MemberUpdate &member : usableMembers(m_membership, now)) {
+        members.push_back({member.m_name, member.m_dataCentre});
+    }
+    // A booting node may ask any node of its files, of which none is known to live yet.
+    if (!m_configuration.m_ready && members.empty()) {
+        for (const std::pair<const std::string, MembershipSeed> &seed : m_membership.m_seeds) {
+            members.push_back({seed.first, seed.second.m_dataCentre});
+        }
+    }
+    feedConfiguration([this, &members](TimePoint at, ConfigurationActions &actions) {
+        updateMembers(m_configuration, at, members, actions);
+    });
+}
+
+std::optional<MembershipSeed> ClusterService::findPeer(const std::string &name) const
+{
+    const auto member = m_membership.m_members.find(name);
+    if (member != m_membership.m_members.end()) {
+        const MemberUpdate &update = member->second.m_update;
+        return MembershipSeed{name, update.m_dataCentre, update.m_address, update.m_peerPort,
+                              update.m_callerPort};
+    }
+    const auto seed = m_membership.m_seeds.find(name);
+    if (seed != m_membership.m_seeds.end()) {
+        return seed->second;
+    }
+    return std::nullopt;
+}
+
+void ClusterService::pull(const std::string &peer, PullRequest request,
+                          std::function<void(const PullReply *)> handler)
+{
+    const std::optional<MembershipSeed> place = findPeer(peer);
+    if (!place) {
+        handler(nullptr);
+        return;
+    }
+    request.m_sender = m_self.m_name;
+    request.m_revision = m_configuration.m_revision;
+    const std::weak_ptr<bool> alive = m_alive;
+    callPeer(m_shell.context(), place->m_address, place->m_peerPort,
+             PeerRequest{++m_lastRequest, request}, pullTimeout, m_calls,
+             [alive, handler = std::move(handler)](const std::optional<PeerReply> &reply) {
+                 if (alive.expired()) {
+                     return;
+                 }
+                 handler(reply && reply->m_pull ? &*reply->m_pull : nullptr);
+             });
+}
+
+PeerReply ClusterService::answerPull(const PeerRequest &request) const
+{
+    PeerReply reply;
+    reply.m_id = request.m_id;
+    if (!request.m_pull) {
+        return reply;
+    }
+    PullReply &pulled = reply.m_pull.emplace();
+    pulled.m_sender = m_self.m_name;
+    pulled.m_revision = m_configuration.m_revision;
+    if (request.m_pull->m_wantConfiguration && m_configuration.m_revision > 0) {
+        pulled.m_configuration = m_configuration.m_text;
+    }
+    if (request.m_pull->m_wantState) {
+        pulled.m_state = takeSnapshot(m_membership, steadyNow());
+    }
+    return reply;
+}
+
+std::optional<std::string> ClusterService::unreadyReason() const
+{
+    if (!m_startError.empty()) {
+        return m_startError;
+    }
+    const std::string reason = readinessReason(m_configuration);
+    if (reason.empty()) {
+        return std::nullopt;
+    }
+    return reason;
+}
+
+void ClusterService::contributeStatus(boost::json::object &status) const
+{
+    const TimePoint now = steadyNow();
+    boost::json::object states;
+    std::set<std::string> unheard;
+    for (const MemberView &view : memberViews(m_membership, now)) {
+        const std::string_view state = memberStateName(view.m_member.m_state);
+        const boost::json::value *count = states.if_contains(state);
+        states[state] = (count == nullptr ? 0 : count->to_number<std::int64_t>()) + 1;
+        if (!view.m_reachable) {
+            unheard.insert(view.m_member.m_dataCentre);
+        }
+    }
+    boost::json::array cut;
+    for (const std::string &dataCentre : unheard) {
+        cut.emplace_back(dataCentre);
+    }
+    boost::json::array alarms;
+    for (const auto &[kind, detail] : m_configuration.m_alarms) {
+        alarms.push_back({{"alarm", configurationAlarmName(kind)}, {"detail", detail}});
+    }
+    boost::json::object cluster{{"members", std::move(states)},
+                                {"dataCentresNotHeard", std::move(cut)},
+                                {"storeWatcher", m_configuration.m_watcher},
+                                {"awareness", m_membership.m_awareness},
+                                {"alarms", std::move(alarms)}};
+    if (m_configuration.m_storeContact) {
+        cluster["storeContactAgeSeconds"] =
+            std::chrono::duration<double>(now - *m_configuration.m_storeContact).count();
+    }
+    status["cluster"] = std::move(cluster);
+}
+
+void ClusterService::contributeMetrics(MetricFamilies &families) const
+{
+    const MembershipStatistics &gossip = m_membership.m_statistics;
+    const ConfigurationStatistics &calls = m_configuration.m_statistics;
+    addGauge(families, "arbutusgrade_configuration_revision", "Revision in force.",
+             static_cast<double>(m_configuration.m_revision));
+    addGauge(families, "arbutusgrade_configuration_alarms", "Alarms raised and not over.",
+             static_cast<double>(m_configuration.m_alarms.size()));
+    addGauge(families, "arbutusgrade_members_usable", "Other nodes that are in use.",
+             static_cast<double>(usableMembers(m_membership, steadyNow()).size()));
+    const std::pair<std::string_view, std::uint64_t> counters[] = {
+        {"arbutusgrade_gossip_datagrams_total", m_socket.statistics().m_sent},
+        {"arbutusgrade_gossip_bytes_total", m_socket.statistics().m_sentBytes},
+        {"arbutusgrade_gossip_received_bytes_total", m_socket.statistics().m_receivedBytes},
+        {"arbutusgrade_gossip_malformed_total", m_socket.statistics().m_malformed},
+        {"arbutusgrade_gossip_withheld_total", gossip.m_dropped},
+        {"arbutusgrade_member_suspicions_total", gossip.m_suspicions},
+        {"arbutusgrade_member_deaths_total", gossip.m_deaths},
+        {"arbutusgrade_pauses_total", gossip.m_pauses},
+        {"arbutusgrade_peer_bytes_total", m_server.statistics().m_sentBytes + m_calls.m_sentBytes},
+        {"arbutusgrade_configuration_reads_total", calls.m_reads},
+        {"arbutusgrade_configuration_watches_total", calls.m_watches},
+        {"arbutusgrade_configuration_writes_total", calls.m_writes},
+        {"arbutusgrade_configuration_pulls_total", calls.m_pulls},
+    };
+    for (const std::pair<std::string_view, std::uint64_t> &counter : counters) {
+        addCounter(families, counter.first, "Count since start.",
+                   static_cast<double>(counter.second));
+    }
+}
+
+} // namespace arbutusgrade
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -38,7 +38,7 @@
 };
 
 //! @brief State of a target as its probers see it. The highest sequence wins.
-struct TargetState
+struct SharedTarget
 {
     std::string m_target;
     std::string m_startId;
@@ -69,7 +69,7 @@
     std::optional<Duration> m_storeContactAge; //!< Since the last answer known in its data centre.
     std::string m_probeTarget;                 //!< PingRequest: the member to probe.
     std::vector<MemberUpdate> m_members;
-    std::vector<TargetState> m_targets;
+    std::vector<SharedTarget> m_targets;
     std::vector<QuarantineUpdate> m_quarantines;
 };
 
@@ -77,7 +77,7 @@
 struct MembershipSnapshot
 {
     std::vector<MemberUpdate> m_members;
-    std::vector<TargetState> m_targets;
+    std::vector<SharedTarget> m_targets;
     std::vector<QuarantineUpdate> m_quarantines;
 };
 
@@ -190,7 +190,7 @@
 //! @brief The shared state of a target has changed.
 struct TargetStateChanged
 {
-    TargetState m_state;
+    SharedTarget m_state;
 };
 
 //! @brief A quarantine was learned from a peer.
@@ -231,7 +231,7 @@
 struct TargetEntry
 {
     std::string m_dataCentre;
-    TargetState m_state; //!< Sequence 0: nothing is known.
+    SharedTarget m_state; //!< Sequence 0: nothing is known.
     int m_transmits = 0;
     TimePoint m_reachableSince{};
     bool m_isProber = false;
--- a/libs/membership/src/details/core.h
+++ b/libs/membership/src/details/core.h
@@ -11,7 +11,7 @@
 //! @brief Takes one update; tells it on if it was news.
 void applyMember(MembershipCore &core, TimePoint now, const MemberUpdate &update,
                  MembershipActions &actions);
-void applyTarget(MembershipCore &core, TimePoint now, const TargetState &state,
+void applyTarget(MembershipCore &core, TimePoint now, const SharedTarget &state,
                  MembershipActions &actions);
 void applyQuarantine(MembershipCore &core, TimePoint now, const QuarantineUpdate &update,
                      MembershipActions &actions);
--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -39,7 +39,7 @@
     return bytes;
 }
 
-std::size_t bytesOf(const TargetState &state) noexcept
+std::size_t bytesOf(const SharedTarget &state) noexcept
 {
     return textBytes(state.m_target) + state.m_startId.size() + textOverheadBytes + numberBytes + 6
            + state.m_holdings.size() * (2 * numberBytes + 1);
@@ -332,7 +332,7 @@
     for (const MemberUpdate &update : message.m_members) {
         bytes += bytesOf(update);
     }
-    for (const TargetState &state : message.m_targets) {
+    for (const SharedTarget &state : message.m_targets) {
         bytes += bytesOf(state);
     }
     for (const QuarantineUpdate &update : message.m_quarantines) {
@@ -352,7 +352,7 @@
         membershipdetails::applyMember(core, now, update, actions);
     }
     noteSender(core, now, message, actions);
-    for (const TargetState &state : message.m_targets) {
+    for (const SharedTarget &state : message.m_targets) {
         membershipdetails::applyTarget(core, now, state, actions);
     }
     for (const QuarantineUpdate &update : message.m_quarantines) {
@@ -389,7 +389,7 @@
     for (const MemberUpdate &update : snapshot.m_members) {
         membershipdetails::applyMember(core, now, update, actions);
     }
-    for (const TargetState &state : snapshot.m_targets) {
+    for (const SharedTarget &state : snapshot.m_targets) {
         membershipdetails::applyTarget(core, now, state, actions);
     }
     for (const QuarantineUpdate &update : snapshot.m_quarantines) {
--- a/libs/membership/src/targets.cpp
+++ b/libs/membership/src/targets.cpp
@@ -14,14 +14,14 @@
 //! Health lags, so that a state of draining outlives some probes that contradict it.
 constexpr int contradictionsToTell = 5;
 
-bool sameContent(const TargetState &left, const TargetState &right)
+bool sameContent(const SharedTarget &left, const SharedTarget &right)
 {
     return left.m_startId == right.m_startId && left.m_reachable == right.m_reachable
            && left.m_draining == right.m_draining && left.m_holdings == right.m_holdings;
 }
 
 //! @brief Order of two different states of one sequence, the same at every node.
-bool winsTie(const TargetState &left, const TargetState &right)
+bool winsTie(const SharedTarget &left, const SharedTarget &right)
 {
     if (left.m_draining != right.m_draining) {
         return left.m_draining;
@@ -63,7 +63,7 @@
 }
 
 //! @brief Tells a state that differs from what is shared, under the next sequence.
-void tellTarget(MembershipCore &core, TimePoint now, const TargetEntry &known, TargetState state,
+void tellTarget(MembershipCore &core, TimePoint now, const TargetEntry &known, SharedTarget state,
                 MembershipActions &actions)
 {
     if (known.m_state.m_sequence > 0 && sameContent(known.m_state, state)) {
@@ -77,7 +77,7 @@
 
 namespace membershipdetails {
 
-void applyTarget(MembershipCore &core, TimePoint now, const TargetState &state,
+void applyTarget(MembershipCore &core, TimePoint now, const SharedTarget &state,
                  MembershipActions &actions)
 {
     const auto found = core.m_targets.find(state.m_target);
@@ -157,7 +157,7 @@
         return;
     }
     TargetEntry &entry = found->second;
-    TargetState state = entry.m_state;
+    SharedTarget state = entry.m_state;
     if (!result) {
         ++entry.m_failures;
         if (entry.m_failures < failuresToTell || now - entry.m_reachableSince < reachableHold) {
@@ -187,7 +187,7 @@
     if (found == core.m_targets.end() || found->second.m_state.m_draining) {
         return;
     }
-    TargetState state = found->second.m_state;
+    SharedTarget state = found->second.m_state;
     state.m_draining = true;
     tellTarget(core, now, found->second, std::move(state), actions);
 }
