Close target connections when the client ends

Cause: the address sanitizer reported 18 KB leaked in the transport tests and 9 KB in the node tests. An exchange in flight refers to its connection, which refers to the exchange, and nothing ended the two when the client was destroyed.

Change: the client closes all its connections when it ends. The tests that showed it, ReportsNotSentWhenDeadlinePassedWhileWaiting and ShutdownEndsAtItsBound, guard against it in the sanitizer build.

--- a/libs/transport/src/details/targetpool.h
+++ b/libs/transport/src/details/targetpool.h
@@ -46,6 +46,9 @@
     //! @brief Closes idle connections; busy ones close when their exchange ends.
     void retire();
 
+    //! @brief Closes all connections at once, without any event.
+    void close();
+
     bool isEmpty() const
     {
         return m_connections.empty() && m_waiting.empty();
--- a/libs/transport/src/targetclient.cpp
+++ b/libs/transport/src/targetclient.cpp
@@ -80,6 +80,14 @@
 TargetClient::~TargetClient()
 {
     m_implementation->m_timer.cancel();
+    // The handlers of exchanges in flight refer to their connections, which would stay otherwise.
+    for (const std::pair<const std::string, std::shared_ptr<TargetPool>> &entry :
+         m_implementation->m_pools) {
+        entry.second->close();
+    }
+    for (const std::shared_ptr<TargetPool> &pool : m_implementation->m_retired) {
+        pool->close();
+    }
 }
 
 void TargetClient::setTargets(std::span<const TargetEndpoint> targets)
--- a/libs/transport/src/targetpool.cpp
+++ b/libs/transport/src/targetpool.cpp
@@ -133,6 +133,15 @@
     m_waiting.clear();
 }
 
+void TargetPool::close()
+{
+    m_waiting.clear();
+    const std::vector<PooledPointer> connections = m_connections;
+    for (const PooledPointer &pooled : connections) {
+        remove(pooled);
+    }
+}
+
 void TargetPool::pump()
 {
     while (!m_waiting.empty()) {
