Hold requests for 20 ms after a pause

Ruled out: refusing such requests, as their callers still wait. Change: a request that comes within 20 ms of the end of a pause waits that long.

--- a/libs/query/src/details/jobs.h
+++ b/libs/query/src/details/jobs.h
@@ -43,6 +43,11 @@
 void drainQueue(QueryEngine &engine, const Event &event, ServiceIndex service);
 void kickService(QueryEngine &engine, const Event &event, ServiceIndex service);
 
+// submit.cpp
+
+//! Accepts the requests that came right after a pause.
+void submitDeferred(QueryEngine &engine, const Event &event);
+
 // budget.cpp
 
 void earnBudget(GroupRuntime &group, TimePoint now) noexcept;
--- a/libs/query/src/details/state.h
+++ b/libs/query/src/details/state.h
@@ -184,6 +184,7 @@
     HedgeCheck,
     CancelHold,
     ServiceKick,
+    SubmitDeferred,
     ClaimRetry,
     RequestLinger,
     Housekeeping,
@@ -198,6 +199,13 @@
     ShardIndex m_shard = 0;
 };
 
+//! @brief A request that waits until the node has read what it missed during a pause.
+struct DeferredRequest
+{
+    CallerRequest m_caller;
+    TimePoint m_receivedAt;
+};
+
 struct QueryEngine
 {
     QueryOptions m_options;
@@ -240,7 +248,8 @@
 
     bool m_started = false;
     TimePoint m_lastEvent;
-    TimePoint m_resumedAt; //!< End of the last pause.
+    TimePoint m_resumedAt;                   //!< End of the last pause.
+    std::vector<DeferredRequest> m_deferred; //!< Came right after a pause.
 };
 
 //! @brief Where the functions of one event add their actions, and its time.
--- a/libs/query/src/submit.cpp
+++ b/libs/query/src/submit.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+//! Notices of drains and crashing requests that came during a pause are read within this time; a
+//! request that waited in a socket beside them must not run before them.
+constexpr Duration settleTime = std::chrono::milliseconds(20);
+
 //! Refuses a request that has no place in the engine yet.
 void refuseAtOnce(QueryEngine &engine, const Event &event, const CallerRequest &caller,
                   Outcome outcome, Reason reason)
@@ -76,14 +80,8 @@
     dispatchAll(engine, event, request);
 }
 
-} // namespace
-
-void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &caller,
-                   ActionList &actions)
+void acceptRequest(QueryEngine &engine, const Event &event, const CallerRequest &caller)
 {
-    const Event event{now, actions};
-    enterEvent(engine, event);
-    ++engine.m_statistics.m_requests;
     if (!engine.m_configured || engine.m_shuttingDown) {
         const Reason reason = engine.m_shuttingDown ? Reason::ShuttingDown : Reason::NoReplica;
         refuseAtOnce(engine, event, caller, Outcome::NotRun, reason);
@@ -98,7 +96,7 @@
     fillRequest(engine, event, request, caller, kind->second);
     ++engine.m_unanswered;
     if (!hasMutant(engine, QueryMutant::NoQuarantine)
-        && isQuarantined(engine.m_fingerprints, now, request.m_fingerprint)) {
+        && isQuarantined(engine.m_fingerprints, event.m_now, request.m_fingerprint)) {
         answerPlain(engine, event, request, Outcome::Failed, Reason::Quarantined);
         return;
     }
@@ -119,4 +117,36 @@
     startRequest(engine, event, request);
 }
 
+} // namespace
+
+void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &caller,
+                   ActionList &actions)
+{
+    const Event event{now, actions};
+    enterEvent(engine, event);
+    ++engine.m_statistics.m_requests;
+    const TimePoint settled = engine.m_resumedAt + settleTime;
+    if (engine.m_resumedAt == TimePoint() || now >= settled) {
+        acceptRequest(engine, event, caller);
+        return;
+    }
+    if (engine.m_deferred.empty()) {
+        startTimer(engine, settled, TimerKind::SubmitDeferred, 0);
+    }
+    engine.m_deferred.push_back(DeferredRequest{caller, now});
+}
+
+void submitDeferred(QueryEngine &engine, const Event &event)
+{
+    const std::vector<DeferredRequest> deferred = std::move(engine.m_deferred);
+    engine.m_deferred.clear();
+    for (const DeferredRequest &waiting : deferred) {
+        CallerRequest caller = waiting.m_caller;
+        if (caller.m_timeout) {
+            *caller.m_timeout -= event.m_now - waiting.m_receivedAt;
+        }
+        acceptRequest(engine, event, caller);
+    }
+}
+
 } // namespace arbutusgrade
--- a/libs/query/src/timers.cpp
+++ b/libs/query/src/timers.cpp
@@ -112,6 +112,9 @@
     case TimerKind::ServiceKick:
         kickService(engine, event, static_cast<ServiceIndex>(timer.m_subject));
         break;
+    case TimerKind::SubmitDeferred:
+        submitDeferred(engine, event);
+        break;
     case TimerKind::ClaimRetry:
         retryClaimCall(engine, event, timer.m_subject);
         break;
