Let pauses of a simulated node overlap without reordering its events

Ruled out: a fault of the request path; the trace shows the notice held back. Change: the end of a pause only moves forward; the trace names pauses and kills.

--- a/tools/arbutusgrade-stress/requestchecks.cpp
+++ b/tools/arbutusgrade-stress/requestchecks.cpp
@@ -25,6 +25,13 @@
     m_result.m_trace.push_back(std::to_string(microseconds) + " us: " + line);
 }
 
+void RequestWorld::traceNode(const std::string &line)
+{
+    if (!m_options.m_subject.empty()) {
+        trace(m_options.m_subject, line);
+    }
+}
+
 void RequestWorld::violate(const std::string &name, const std::string &detail,
                            const std::string &subject)
 {
--- a/tools/arbutusgrade-stress/requestfaults.cpp
+++ b/tools/arbutusgrade-stress/requestfaults.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cmath>
 
 #include "requestworld.h"
@@ -35,7 +36,10 @@
     if (m_plan.m_nodePauses) {
         repeatFault(Duration(4'000'000), [this]() {
             const Duration length(200'000 + nextRandomBelow(m_random, 5'000'000));
-            m_nodes[pickNode()].m_pausedUntil = m_queue.now() + length;
+            SimulatedNode &node = m_nodes[pickNode()];
+            // A pause never ends an earlier one: events would overtake those held back before.
+            node.m_pausedUntil = std::max(node.m_pausedUntil, m_queue.now() + length);
+            traceNode(node.m_name + " is paused for " + std::to_string(length.count()) + " us");
         });
     }
     scheduleTargetFaults();
--- a/tools/arbutusgrade-stress/requestworld.cpp
+++ b/tools/arbutusgrade-stress/requestworld.cpp
@@ -206,6 +206,7 @@
 void RequestWorld::killNode(std::size_t index)
 {
     m_killTimes.push_back(m_queue.now());
+    traceNode(m_nodes[index].m_name + " is killed and starts again");
     closeEngine(index);
     m_nodes[index].m_pausedUntil = TimePoint();
     startNode(index);
--- a/tools/arbutusgrade-stress/requestworld.h
+++ b/tools/arbutusgrade-stress/requestworld.h
@@ -120,6 +120,7 @@
     void recordCrash(const TargetWork &work);
 
     void trace(const std::string &subject, const std::string &line);
+    void traceNode(const std::string &line);
     void violate(const std::string &check, const std::string &detail, const std::string &subject);
     bool check(bool condition, const char *name, const std::string &detail,
                const std::string &subject);
