--- a/libs/query/benchmarks/figures.cpp
+++ b/libs/query/benchmarks/figures.cpp
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <cstdlib>
 #include <functional>
 #include <iomanip>
@@ -37,7 +38,7 @@
 
 SimulationFigures report(std::string_view name, const SimulationOptions &options)
 {
-    const SimulationFigures figures = runSimulation(options);
+    SimulationFigures figures = runSimulation(options);
     std::cout << std::fixed << std::setprecision(2) << "| " << name << " | " << figures.m_submitted
               << " | " << percentage(figures.m_complete, figures.m_submitted) << " | "
               << percentage(figures.m_partial, figures.m_submitted) << " | "
@@ -62,8 +63,7 @@
             options.m_load = load;
             options.m_urgentShare = 0.2;
             options.m_query.m_slotPolicy = policy;
-            const std::string name =
-                prefix + std::to_string(static_cast<int>(load * 100 + 0.5)) + " %";
+            const std::string name = prefix + std::to_string(std::lround(load * 100)) + " %";
             report(name, options);
             options.m_stragglerFactor = 5;
             report(name + ", straggler", options);
--- a/libs/query/src/admission.cpp
+++ b/libs/query/src/admission.cpp
@@ -113,6 +113,10 @@
     if (request == nullptr) {
         return false;
     }
+    if (repinUnsent(engine, *request)) {
+        dispatchAll(engine, event, *request);
+        return true;
+    }
     SubRequest &shard = request->m_shards[entry.m_shard];
     if (isHeldBack(engine, event.m_now, *request)) {
         dequeueShard(engine, *request, shard);
--- a/libs/query/src/details/jobs.h
+++ b/libs/query/src/details/jobs.h
@@ -27,6 +27,10 @@
 //! @return false if the group serves nothing.
 bool pinSnapshot(QueryEngine &engine, Request &request);
 
+//! @brief Pins a query that has sent nothing to the snapshot that is the choice now.
+//! @return true if that is another one; sub-requests are new then.
+bool repinUnsent(QueryEngine &engine, Request &request);
+
 //! @brief Starts the whole query again on another snapshot if that can help.
 //! @return true if it was restarted; sub-requests are new then.
 bool restartOnOtherSnapshot(QueryEngine &engine, const Event &event, Request &request);
--- a/libs/query/src/snapshots.cpp
+++ b/libs/query/src/snapshots.cpp
@@ -164,6 +164,22 @@
     return true;
 }
 
+bool repinUnsent(QueryEngine &engine, Request &request)
+{
+    if (!isFanOut(request) || request.m_sent > 0) {
+        return false;
+    }
+    refreshSnapshots(engine, request.m_group);
+    const GroupRuntime &runtime = engine.m_groups[request.m_group];
+    if (!runtime.m_choice || *runtime.m_choice == *request.m_snapshot) {
+        return false;
+    }
+    for (SubRequest &shard : request.m_shards) {
+        dequeueShard(engine, request, shard);
+    }
+    return pinSnapshot(engine, request);
+}
+
 bool restartOnOtherSnapshot(QueryEngine &engine, const Event &event, Request &request)
 {
     refreshSnapshots(engine, request.m_group);
--- a/libs/query/tests/fanouttest.cpp
+++ b/libs/query/tests/fanouttest.cpp
@@ -110,6 +110,24 @@
     EXPECT_EQ(totalViolations(invariantCounters(*harness.m_engine)), 0U);
 }
 
+// Guards against sending a query that waited to a snapshot that has been superseded meanwhile.
+TEST(FanOut, QueuedQueryFollowsTheNewSnapshot)
+{
+    Harness harness(makeSettings(1, 1, 2, 2));
+    harness.holdEverywhere({{1, 7}});
+    harness.submit("all");
+    const CallerId caller = harness.submit("all");
+    const SendAttempt first = harness.takeAttempt();
+    harness.observe({"s0-t0", true, false, {{1, 7}, {1, 8}}, "", std::nullopt});
+    harness.replyOk(first);
+    const SendAttempt second = harness.takeAttempt();
+    EXPECT_EQ(second.m_snapshot, (Snapshot{1, 8}));
+    harness.replyOk(second, {1, 8});
+    ASSERT_NE(harness.answer(caller), nullptr);
+    EXPECT_EQ(harness.answer(caller)->m_snapshot, (Snapshot{1, 8}));
+    EXPECT_EQ(queryStatistics(*harness.m_engine).m_restarts, 0U);
+}
+
 // Guards against use of a partitioning epoch before all of its shards are there.
 TEST(FanOut, NewEpochIsUsedOnceAllItsShardsHoldIt)
 {
--- a/libs/query/tests/healthtest.cpp
+++ b/libs/query/tests/healthtest.cpp
@@ -123,6 +123,9 @@
     EXPECT_LE(grown, 10);
     harness.observe({"s0-t0", true, false, {}, "second", std::nullopt});
     EXPECT_EQ(viewOf(harness, "s0-t0").m_limit, 1);
+    // A lagging probe from before the restart changes nothing.
+    harness.observe({"s0-t0", true, true, {}, "first", std::nullopt});
+    EXPECT_FALSE(viewOf(harness, "s0-t0").m_draining);
 }
 
 // Guards against more connections than the target allows to all nodes together.
--- a/libs/targets/include/targets/targets.h
+++ b/libs/targets/include/targets/targets.h
@@ -90,6 +90,7 @@
     std::vector<Snapshot> m_holdings; //!< Ascending.
     TimePoint m_holdingsAt;
     std::string m_startId;
+    std::string m_previousStartId; //!< A probe that names it is older than the restart.
 
     int m_inFlight = 0;   //!< Attempts that occupy a connection.
     double m_limit = 1.0; //!< Adaptive bound of m_inFlight.
--- a/libs/targets/src/health.cpp
+++ b/libs/targets/src/health.cpp
@@ -155,6 +155,7 @@
     target.m_silentSince.reset();
     if (!facts.m_startId.empty() && facts.m_startId != target.m_startId) {
         const bool restarted = !target.m_startId.empty();
+        target.m_previousStartId = target.m_startId;
         target.m_startId = facts.m_startId;
         if (restarted) {
             startCold(target);
--- a/libs/targets/src/knowledge.cpp
+++ b/libs/targets/src/knowledge.cpp
@@ -31,6 +31,7 @@
         target.m_drainingByReport = false;
         target.m_holdingsAt = TimePoint{};
     }
+    target.m_previousStartId = target.m_startId;
     target.m_startId = startId;
 }
 
@@ -93,6 +94,9 @@
         return false;
     }
     TargetState &target = table.m_targets[index];
+    if (!observation.m_startId.empty() && observation.m_startId == target.m_previousStartId) {
+        return false; // A lagging probe of the time before the last restart.
+    }
     learnStart(target, observation.m_startId);
     learnHoldings(table, target, now, observation.m_holdings);
     const bool loadIsOld = now - target.m_loadAt >= replyPrecedence;
