--- a/tests/support/src/site.cpp
+++ b/tests/support/src/site.cpp
@@ -70,8 +70,8 @@
         return group.m_name;
     }
     const std::string digits = std::to_string(service + 1);
-    return group.m_name + "-" + std::string(3 - std::min<std::size_t>(3, digits.size()), '0')
-           + digits;
+    const std::size_t width = std::max<std::size_t>(2, std::to_string(group.m_services).size());
+    return group.m_name + "-" + std::string(width - digits.size(), '0') + digits;
 }
 
 Site::Site(SitePlan plan, std::string programs)
