--- a/tests/support/include/support/site.h
+++ b/tests/support/include/support/site.h
@@ -28,6 +28,7 @@
     double m_serviceMs = 5;
     double m_serviceSpread = 0;
     std::string m_behaviour = "{}"; //!< More members of PUT /v1/faults.
+    bool m_firstAlone = false;      //!< The first target has a process of its own.
 };
 
 struct SitePlan
@@ -99,6 +100,9 @@
     void callGroup(std::string_view group, std::string_view method, std::string_view path,
                    std::string_view body = {}) const;
 
+    //! @brief Process that hosts a target, alone or with others of its group.
+    ChildProcess &targetProcess(const TargetPlace &place);
+
     boost::json::object targetStatistics(const TargetPlace &place) const;
     //! @brief Sum of one number of the statistics over the targets of a group.
     std::int64_t sumStatistics(std::string_view group, std::string_view name) const;
--- a/tests/support/src/site.cpp
+++ b/tests/support/src/site.cpp
@@ -102,11 +102,12 @@
 void Site::startTargets(const GroupPlan &group)
 {
     const int total = group.m_services * group.m_replicas;
-    for (int first = 0; first < total; first += targetsForEachProcess) {
+    int count = group.m_firstAlone ? 1 : targetsForEachProcess;
+    for (int first = 0; first < total; first += count, count = targetsForEachProcess) {
         Host host;
         host.m_group = group.m_name;
         host.m_first = first;
-        host.m_count = std::min(targetsForEachProcess, total - first);
+        host.m_count = std::min(count, total - first);
         host.m_process = ChildProcess(
             {m_programs + "/target-standin", "--targets=" + std::to_string(host.m_count),
              "--seed=" + std::to_string(1 + m_hosts.size()), behaviourOption(group)},
@@ -298,6 +299,16 @@
     }
 }
 
+ChildProcess &Site::targetProcess(const TargetPlace &place)
+{
+    const int number = place.m_service * findGroup(place.m_group).m_replicas + place.m_replica;
+    const Host &found = findHost(place.m_group, number);
+    const auto host = std::find_if(m_hosts.begin(), m_hosts.end(), [&found](const Host &candidate) {
+        return candidate.m_port == found.m_port;
+    });
+    return host->m_process;
+}
+
 json::object Site::targetStatistics(const TargetPlace &place) const
 {
     return jsonBody(callTarget(place, "GET", "/v1/statistics"));
@@ -310,7 +321,11 @@
         if (host.m_group != group) {
             continue;
         }
-        const json::object body = jsonBody(httpCall(host.m_port, "GET", "/v1/statistics"));
+        const HttpReply reply = httpCall(host.m_port, "GET", "/v1/statistics");
+        if (reply.m_status == 0) {
+            continue; // The process was killed and its counts went with it.
+        }
+        const json::object body = jsonBody(reply);
         for (const json::value &target : body.at("targets").as_array()) {
             all.push_back(target.as_object());
         }
