Show a node's own status and its targets in arbutusgradectl status

Cause: status refused to print anything against a daemon without the administration API, and did not name draining and ejected targets. Change: status prints what the node tells, numbers without exponents, and the names of draining and ejected targets. Conclusion: status is of use before and after the administration API is served.

--- a/tests/arbutusgradectl/arbutusgradectltest.cpp
+++ b/tests/arbutusgradectl/arbutusgradectltest.cpp
@@ -216,6 +216,20 @@
                                    HasSubstr(R"(lacking: {"shard":"b"})")));
 }
 
+// Guards against a status that hides nodes which are behind, or targets that get no work.
+TEST_F(Commands, StatusShowsWhatIsUnusual)
+{
+    m_node.setNodes({9,
+                     {{"n-1", "voss", "alive", 9},
+                      {"n-2", "voss", "suspect", 8},
+                      {"n-3", "voss", "dead", -1}}});
+    EXPECT_EQ(run("status"), exitOk) << m_error.str();
+    EXPECT_THAT(m_out.str(), AllOf(testing::ContainsRegex("n-2 +voss +suspect +8  behind"),
+                                   testing::ContainsRegex("n-3 +voss +dead +unknown"),
+                                   HasSubstr("storeContactAgeSeconds: 0.25"),
+                                   HasSubstr("draining: a\n"), HasSubstr("ejected: b\n")));
+}
+
 struct ProgramCase
 {
     std::vector<std::string> m_arguments;
--- a/tests/arbutusgradectl/fakenode.cpp
+++ b/tests/arbutusgradectl/fakenode.cpp
@@ -72,6 +72,10 @@
         respond(HttpResponse{200, formatNodeList(m_nodes)});
     } else if (request.m_path.starts_with(targetsPath) && isPost) {
         respond(drain(request));
+    } else if (request.m_path == "/v1/status") {
+        respond(HttpResponse{200, R"({"storeContactAgeSeconds":0.25,"targets":[{"target":"a",)"
+                                  R"("draining":true,"ejected":false},{"target":"b",)"
+                                  R"("draining":false,"ejected":true}]})"});
     } else if (request.m_path == "/v1/query") {
         respond(HttpResponse{200, R"({"requestId":"r","outcome":"partial","coverage":{)"
                                   R"("included":["a"],"lacking":[{"shard":"b"}]},"entries":[]})"});
--- a/tools/arbutusgradectl/readcommands.cpp
+++ b/tools/arbutusgradectl/readcommands.cpp
@@ -40,7 +40,33 @@
     return exitFailed;
 }
 
-//! Writes "age of the store contact" and the like: every plain member of the node's own status.
+void writeValue(const json::value &value, const CommandOutput &output)
+{
+    // JSON text would show numbers with fractions in exponent form.
+    if (value.is_double()) {
+        output.m_out << value.get_double();
+    } else {
+        output.m_out << value;
+    }
+}
+
+//! Names of the targets of which the asked node says that the member is true.
+std::string targetsWith(const json::array &targets, std::string_view member)
+{
+    std::string names;
+    for (const json::value &target : targets) {
+        const json::object *const object = target.if_object();
+        const json::value *const flag = object == nullptr ? nullptr : object->if_contains(member);
+        const json::value *const name = object == nullptr ? nullptr : object->if_contains("target");
+        const bool isSet = flag != nullptr && flag->is_bool() && flag->get_bool();
+        if (isSet && name != nullptr && name->is_string()) {
+            names += " " + std::string(name->get_string());
+        }
+    }
+    return names.empty() ? " none" : names;
+}
+
+//! Writes every plain member of the node's own status, and what is unusual of its targets.
 void writeOwnStatus(const HttpAnswer &answer, const CommandOutput &output)
 {
     boost::system::error_code error;
@@ -51,9 +77,18 @@
     output.m_out << "asked node:\n";
     for (const json::key_value_pair &entry : value.get_object()) {
         if (!entry.value().is_structured()) {
-            output.m_out << "  " << entry.key() << ": " << entry.value() << "\n";
+            output.m_out << "  " << entry.key() << ": ";
+            writeValue(entry.value(), output);
+            output.m_out << "\n";
         }
     }
+    const json::value *const targets = value.get_object().if_contains("targets");
+    if (targets != nullptr && targets->is_array()) {
+        const json::array &array = targets->get_array();
+        output.m_out << "  targets: " << array.size()
+                     << "\n  draining:" << targetsWith(array, "draining")
+                     << "\n  ejected:" << targetsWith(array, "ejected") << "\n";
+    }
 }
 
 void writeNodes(const NodeList &list, const CommandOutput &output)
@@ -153,22 +188,29 @@
 int runStatus(const CommandOptions &options, const CommandOutput &output)
 {
     const HttpAnswer nodes = getFromAnyNode(options, "/v1/admin/nodes");
-    if (!isSuccess(nodes)) {
+    const HttpAnswer own = getFromAnyNode(options, "/v1/status");
+    if (!isSuccess(nodes) && !isSuccess(own)) {
         return reportFailure(nodes, output);
     }
-    const Checked<NodeList> list = parseNodeList(nodes.m_body);
-    if (list.has_error()) {
+    const Checked<NodeList> list = parseNodeList(isSuccess(nodes) ? nodes.m_body : "{}");
+    if (isSuccess(nodes) && list.has_error()) {
         return reportBadAnswer(list.error(), output);
     }
-    const HttpAnswer own = getFromAnyNode(options, "/v1/status");
     if (options.m_json) {
-        json::object result = json::parse(nodes.m_body).as_object();
+        json::object result;
         boost::system::error_code error;
+        result["nodes"] =
+            isSuccess(nodes) ? json::parse(nodes.m_body, error).at("nodes") : json::value();
         result["status"] = isSuccess(own) ? json::parse(own.m_body, error) : json::value();
         output.m_out << result << "\n";
         return exitOk;
     }
-    writeNodes(list.value(), output);
+    if (list.has_value()) {
+        writeNodes(list.value(), output);
+    } else {
+        output.m_error << "arbutusgradectl: no list of nodes: "
+                       << describeRefusal(nodes.m_status, nodes.m_body) << "\n";
+    }
     if (isSuccess(own)) {
         writeOwnStatus(own, output);
     }
