Suggest services of the group for a wrong name in a partitioning

Change: the suggestion is made from the services of the group; a test keeps two stated partitionings.

--- a/libs/settings/src/details/names.h
+++ b/libs/settings/src/details/names.h
@@ -30,7 +30,7 @@
     NameKind m_kind = NameKind::Group;
     std::string m_name;
     Place m_place;
-    std::string m_shownName; //!< Name in the finding, if it differs.
+    std::string m_shownName; //!< End of the name that findings show; empty for all of it.
 };
 
 struct NameTable
--- a/libs/settings/src/names.cpp
+++ b/libs/settings/src/names.cpp
@@ -33,14 +33,16 @@
 
 constexpr std::size_t maximumSuggestions = 200;
 
-std::vector<std::string_view> namesOfKind(const NameTable &table, NameKind kind)
+//! Declared names of a kind that begin with the scope, without it.
+std::vector<std::string_view> namesInScope(const NameTable &table, NameKind kind,
+                                           const std::string &scope)
 {
     std::vector<std::string_view> names;
-    for (auto name = table.m_declared.lower_bound({kind, std::string()});
+    for (auto name = table.m_declared.lower_bound({kind, scope});
          name != table.m_declared.end() && name->first.first == kind
-         && names.size() < maximumSuggestions;
+         && name->first.second.starts_with(scope) && names.size() < maximumSuggestions;
          ++name) {
-        names.push_back(name->first.second);
+        names.push_back(std::string_view(name->first.second).substr(scope.size()));
     }
     return names;
 }
@@ -70,12 +72,13 @@
             || table.m_declared.contains({reference.m_kind, reference.m_name})) {
             continue;
         }
-        const bool isScoped = !reference.m_shownName.empty();
-        const std::string &shown = isScoped ? reference.m_shownName : reference.m_name;
+        const std::string &shown =
+            reference.m_shownName.empty() ? reference.m_name : reference.m_shownName;
+        const std::string scope =
+            reference.m_name.substr(0, reference.m_name.size() - shown.size());
         addFinding(findings, reference.m_place,
                    "there is no " + std::string(kindText(reference.m_kind)) + " " + quote(shown)
-                       + (isScoped ? std::string()
-                                   : suggestion(shown, namesOfKind(table, reference.m_kind))));
+                       + suggestion(shown, namesInScope(table, reference.m_kind, scope)));
     }
 }
 
--- a/libs/settings/tests/settingstest.cpp
+++ b/libs/settings/tests/settingstest.cpp
@@ -89,6 +89,19 @@
     EXPECT_EQ(settings.m_kinds[1].m_retries, 0);
 }
 
+// Guards against stated partitionings that are refused, reordered or replaced by the default.
+TEST(Settings, StatedPartitioningsAreKept)
+{
+    const Settings settings =
+        settingsOf(replaced("    services:\n      count",
+                            "    partitionings: [{epoch: 3, services: [faults-02, faults-01]},\n"
+                            "                    {epoch: 1, services: [faults-02]}]\n"
+                            "    services:\n      count"));
+    const std::vector<PartitioningSettings> expected{{3, {"faults-02", "faults-01"}},
+                                                     {1, {"faults-02"}}};
+    EXPECT_EQ(settings.m_groups[0].m_partitionings, expected);
+}
+
 // Guards against an overlay that changes more, or less, than what it states.
 TEST(Settings, OverlayChangesOnlyWhatItStates)
 {
@@ -155,6 +168,10 @@
          "    partitionings: [{epoch: 2, services: [orders]}]\n"
          "    services:\n      count",
          "b:10:43: there is no service in this group 'orders'"},
+        {"    services:\n      count",
+         "    partitionings: [{epoch: 2, services: [faults-1]}]\n"
+         "    services:\n      count",
+         "'faults-1' (did you mean 'faults-01'?)"},
         {"kinds:", "teams: [{name: a, tokenHash: secret}]\nkinds:",
          "'tokenHash' must be 'sha256:'"},
         {"kinds:", "teams: [{name: a, tokenHash: x, groups: [none]}]\nkinds:", "no group 'none'"},
