--- a/libs/query/src/details/jobs.h
+++ b/libs/query/src/details/jobs.h
@@ -43,6 +43,11 @@
 void drainQueue(QueryEngine &engine, const Event &event, ServiceIndex service);
 void kickService(QueryEngine &engine, const Event &event, ServiceIndex service);
 
+// submit.cpp
+
+//! Accepts the requests that came right after a pause.
+void submitDeferred(QueryEngine &engine, const Event &event);
+
 // budget.cpp
 
 void earnBudget(GroupRuntime &group, TimePoint now) noexcept;
@@ -116,6 +121,10 @@
 
 // coverage.cpp
 
+//! @brief Outcome of a send that ran nothing itself: `not-run` only where no earlier send of the
+//! request id can have run.
+Outcome refusalOutcome(AnswerMode mode, int sendNumber, bool claimRead) noexcept;
+
 //! @brief Ends a shard without a result; answers the request if it was the last open one.
 void giveUpShard(QueryEngine &engine, const Event &event, Request &request, ShardIndex shard,
                  Reason reason);
--- a/libs/query/src/engine.cpp
+++ b/libs/query/src/engine.cpp
@@ -186,7 +186,7 @@
 
 std::size_t requestsInFlight(const QueryEngine &engine)
 {
-    return engine.m_unanswered;
+    return engine.m_unanswered + engine.m_deferred.size();
 }
 
 const QueryStatistics &queryStatistics(const QueryEngine &engine)
@@ -219,4 +219,9 @@
     return views;
 }
 
+std::vector<QuarantineNotice> quarantineNotices(const QueryEngine &engine, TimePoint now)
+{
+    return activeNotices(engine.m_fingerprints, now);
+}
+
 } // namespace arbutusgrade
--- a/libs/query/src/replies.cpp
+++ b/libs/query/src/replies.cpp
@@ -253,18 +253,20 @@
     }
     const ShardIndex index = attempt->m_shard;
     recordAttemptSpan(engine, event, *attempt, "failed");
-    // The shell itself closes connections of cancelled attempts, which says nothing of the target.
-    if (!attempt->m_cancelled || attempt->m_trial) {
+    // The shell reports no end of a cancelled attempt whose connection it closed itself, so a lost
+    // connection is always the target's doing.
+    const bool lost = failure == AttemptFailure::ConnectionLost;
+    if (!attempt->m_cancelled || attempt->m_trial || lost) {
         const TargetState &target = engine.m_table.m_targets[attempt->m_target];
         const bool wasEjected = target.m_ejected;
         learnFromFailure(engine.m_table, attempt->m_target, event.m_now);
         engine.m_statistics.m_ejections += !wasEjected && target.m_ejected ? 1U : 0U;
     }
+    if (lost) {
+        noteLoss(engine, event, *attempt);
+    }
     Request *request = attempt->m_cancelled ? nullptr : findRequest(engine, attempt->m_request);
     if (request != nullptr) {
-        if (failure == AttemptFailure::ConnectionLost) {
-            noteLoss(engine, event, *attempt);
-        }
         detachAttempt(request->m_shards[index], id);
         continueAfterFailure(engine, event, *request, index, failure);
     }
--- a/tools/arbutusgrade-stress/requestactions.cpp
+++ b/tools/arbutusgrade-stress/requestactions.cpp
@@ -61,11 +61,9 @@
     const std::uint64_t incarnation = m_nodes[index].m_incarnation;
     m_queue.schedule(m_queue.now() + connectionCloseAfterCancel,
                      [this, index, attempt, incarnation]() {
-                         AttemptResult closed;
-                         closed.m_work.m_send.m_attempt = attempt;
-                         closed.m_work.m_node = index;
-                         closed.m_work.m_nodeIncarnation = incarnation;
-                         endAttempt(closed);
+                         if (m_nodes[index].m_incarnation == incarnation) {
+                             releaseConnection(index, attempt);
+                         }
                      });
 }
 
--- a/tools/arbutusgrade-stress/requestworld.h
+++ b/tools/arbutusgrade-stress/requestworld.h
@@ -47,6 +47,9 @@
     int m_sends = 0;                    //!< Sends by the caller.
     std::vector<std::string> m_lostTargets;
     TimePoint m_firstLoss;
+    TimePoint m_lastLoss;
+    std::size_t m_lastLossNode = 0;
+    int m_concurrentLosses = 0; //!< From the first loss that a notice could not prevent on.
 };
 
 //! @brief One send of a caller, waiting for its answer.
