--- a/libs/configuration/src/adoption.cpp
+++ b/libs/configuration/src/adoption.cpp
@@ -38,11 +38,8 @@
 
 Checked<Settings> parseForSite(const ConfigurationCore &core, const ConfigurationDocument &document)
 {
-    const std::string &site = core.m_options.m_dataCentre;
-    const auto overlay = document.m_overlays.find(site);
-    const std::string_view overlayText =
-        overlay == document.m_overlays.end() ? std::string_view() : overlay->second;
-    return core.m_options.m_parse({"base", document.m_base}, {"overlay " + site, overlayText});
+    return configurationdetails::parseSite(core, document.m_base, document.m_overlays,
+                                           core.m_options.m_dataCentre);
 }
 
 std::string firstFinding(const std::vector<Finding> &findings)
@@ -246,6 +243,18 @@
 
 namespace configurationdetails {
 
+Checked<Settings> parseSite(const ConfigurationCore &core, const std::string &base,
+                            const std::map<std::string, std::string> &overlays,
+                            const std::string &site)
+{
+    const auto overlay = overlays.find(site);
+    // A site without an overlay has a source without a name; an empty file would be a finding.
+    const SettingsSource source = overlay == overlays.end()
+                                      ? SettingsSource{}
+                                      : SettingsSource{"overlay " + site, overlay->second};
+    return core.m_options.m_parse({"base", base}, source);
+}
+
 Duration retryDelay(RandomGenerator &random, int failures, Duration longest)
 {
     constexpr std::int64_t shortest = 250'000;
--- a/libs/configuration/src/details/core.h
+++ b/libs/configuration/src/details/core.h
@@ -5,6 +5,11 @@
 //! @brief Steps shared by adoption and writes.
 namespace arbutusgrade::configurationdetails {
 
+//! @brief Parses the settings of one site; the overlay may be absent.
+Checked<Settings> parseSite(const ConfigurationCore &core, const std::string &base,
+                            const std::map<std::string, std::string> &overlays,
+                            const std::string &site);
+
 //! @brief Puts the document in force if its revision is higher and it passes the checks.
 bool adoptDocument(ConfigurationCore &core, std::int64_t revision, const std::string &text,
                    ConfigurationActions &actions);
--- a/libs/configuration/src/write.cpp
+++ b/libs/configuration/src/write.cpp
@@ -22,11 +22,8 @@
     }
     std::vector<Finding> findings;
     for (const std::string &site : sites) {
-        const auto overlay = write.m_overlays.find(site);
-        const std::string_view text =
-            overlay == write.m_overlays.end() ? std::string_view() : overlay->second;
         const Checked<Settings> settings =
-            core.m_options.m_parse({"base", write.m_base}, {"overlay " + site, text});
+            configurationdetails::parseSite(core, write.m_base, write.m_overlays, site);
         if (settings) {
             continue;
         }
--- a/libs/configuration/tests/configurationtest.cpp
+++ b/libs/configuration/tests/configurationtest.cpp
@@ -367,6 +367,19 @@
     EXPECT_EQ(answer().m_result, WriteResult::Invalid);
 }
 
+// Guards against a site without an overlay whose absent file is refused as an empty one.
+TEST_F(ConfigurationTest, SiteWithoutAnOverlayHasNoSecondSource)
+{
+    std::vector<std::string> names;
+    m_core.m_options.m_parse = [&names](const SettingsSource &base, const SettingsSource &overlay) {
+        names.push_back(overlay.m_name);
+        return parseAnything(base, overlay);
+    };
+    boot(5);
+    write();
+    EXPECT_EQ(names, std::vector<std::string>({"", ""}));
+}
+
 // Guards against a drained target that gets work again with the next change of the YAML.
 TEST_F(ConfigurationTest, DrainedTargetsAreKeptByLaterChanges)
 {
--- a/tools/arbutusgraded/main.cpp
+++ b/tools/arbutusgraded/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <random>
 #include <sstream>
@@ -17,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "cluster/cluster.h"
 #include "node/node.h"
 
 ABSL_FLAG(std::string, base, "", "settings file that the whole firm shares (YAML)");
@@ -47,25 +49,29 @@
     return text.str();
 }
 
-std::optional<arbutusgrade::Settings> readSettings(const std::string &basePath,
-                                                   const std::string &overlayPath)
+//! @brief Reads the files into the options: their texts and the settings that they give.
+bool readSettings(const std::string &basePath, const std::string &overlayPath,
+                  arbutusgrade::ClusterOptions &options)
 {
     const std::optional<std::string> base = readFile(basePath);
     const std::optional<std::string> overlay =
         overlayPath.empty() ? std::optional<std::string>("") : readFile(overlayPath);
     if (!base || !overlay) {
         std::cerr << "cannot read " << (base ? overlayPath : basePath) << '\n';
-        return std::nullopt;
+        return false;
     }
     const arbutusgrade::Checked<arbutusgrade::Settings> settings =
         arbutusgrade::parseSettings({basePath, *base}, {overlayPath, *overlay});
     if (settings) {
-        return settings.value();
+        options.m_baseText = *base;
+        options.m_overlayText = *overlay;
+        options.m_files = settings.value();
+        return true;
     }
     for (const arbutusgrade::Finding &finding : settings.error()) {
         std::cerr << arbutusgrade::formatFinding(finding) << '\n';
     }
-    return std::nullopt;
+    return false;
 }
 
 arbutusgrade::NodeOptions nodeOptions()
@@ -95,7 +101,7 @@
     });
 }
 
-int run(const arbutusgrade::Settings &settings)
+int run(arbutusgrade::ClusterOptions &cluster)
 {
     boost::asio::io_context context(1);
     const arbutusgrade::NodeOptions options = nodeOptions();
@@ -103,8 +109,18 @@
     arbutusgrade::NodeShell shell(context, options, log);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     waitForSignal(signals, context, shell);
-    shell.adoptSettings(settings, 0);
-    const std::string problem = shell.start();
+    cluster.m_node = options.m_node;
+    cluster.m_incarnation = options.m_incarnation;
+    cluster.m_seed = options.m_seed;
+    std::string problem;
+    std::unique_ptr<arbutusgrade::NodeService> service =
+        arbutusgrade::createClusterService(shell, cluster, problem);
+    if (service) {
+        shell.addService(std::move(service));
+        // The files name the address of the node and the store; it is not ready with them alone.
+        shell.adoptSettings(cluster.m_files, 0);
+        problem = shell.start();
+    }
     if (!problem.empty()) {
         std::cerr << problem << '\n';
         return exitFailure;
@@ -123,13 +139,12 @@
         std::cerr << "--base FILE and --node NAME are required; see --help\n";
         return exitUsage;
     }
-    const std::optional<arbutusgrade::Settings> settings =
-        readSettings(absl::GetFlag(FLAGS_base), absl::GetFlag(FLAGS_overlay));
-    if (!settings) {
+    arbutusgrade::ClusterOptions cluster;
+    if (!readSettings(absl::GetFlag(FLAGS_base), absl::GetFlag(FLAGS_overlay), cluster)) {
         return exitUsage;
     }
     try {
-        return run(*settings);
+        return run(cluster);
     } catch (const std::exception &error) {
         std::cerr << error.what() << '\n';
         return exitFailure;
