--- a/libs/query/src/submit.cpp
+++ b/libs/query/src/submit.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
+//! Notices of drains and crashing requests that came during a pause are read within this time; a
+//! request that waited in a socket beside them must not run before them.
+constexpr Duration settleTime = std::chrono::milliseconds(20);
+
 //! Refuses a request that has no place in the engine yet.
 void refuseAtOnce(QueryEngine &engine, const Event &event, const CallerRequest &caller,
-                  Outcome outcome, Reason reason)
+                  AnswerMode mode, Reason reason)
 {
+    const Outcome outcome = refusalOutcome(mode, caller.m_sendNumber, false);
     CallerAnswer answer;
     answer.m_caller = caller.m_caller;
     answer.m_requestId = caller.m_requestId;
@@ -62,10 +67,16 @@
     request.m_span = spanId(engine, request.m_key);
 }
 
+void refuseRequest(QueryEngine &engine, const Event &event, Request &request, Reason reason)
+{
+    const Outcome outcome = refusalOutcome(request.m_mode, request.m_caller.m_sendNumber, false);
+    answerPlain(engine, event, request, outcome, reason);
+}
+
 void startRequest(QueryEngine &engine, const Event &event, Request &request)
 {
     if (isHopeless(engine, event.m_now, request)) {
-        answerPlain(engine, event, request, Outcome::NotRun, Reason::Overload);
+        refuseRequest(engine, event, request, Reason::Overload);
         return;
     }
     startTimer(engine, request.m_deadline, TimerKind::RequestDeadline, request.m_key);
@@ -76,41 +87,39 @@
     dispatchAll(engine, event, request);
 }
 
-} // namespace
-
-void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &caller,
-                   ActionList &actions)
+void acceptRequest(QueryEngine &engine, const Event &event, const CallerRequest &caller)
 {
-    const Event event{now, actions};
-    enterEvent(engine, event);
-    ++engine.m_statistics.m_requests;
+    const auto kind = engine.m_kindByName.find(caller.m_kind);
+    const bool known = kind != engine.m_kindByName.end();
+    // Of an unknown kind nothing is known, so an earlier send may have been of any mode.
+    const AnswerMode mode =
+        known ? engine.m_kinds[kind->second].m_settings.m_mode : AnswerMode::Once;
     if (!engine.m_configured || engine.m_shuttingDown) {
         const Reason reason = engine.m_shuttingDown ? Reason::ShuttingDown : Reason::NoReplica;
-        refuseAtOnce(engine, event, caller, Outcome::NotRun, reason);
+        refuseAtOnce(engine, event, caller, mode, reason);
         return;
     }
-    const auto kind = engine.m_kindByName.find(caller.m_kind);
-    if (kind == engine.m_kindByName.end() || engine.m_kinds[kind->second].m_group == noIndex) {
-        refuseAtOnce(engine, event, caller, Outcome::NotRun, Reason::UnknownKind);
+    if (!known || engine.m_kinds[kind->second].m_group == noIndex) {
+        refuseAtOnce(engine, event, caller, mode, Reason::UnknownKind);
         return;
     }
     Request &request = createRequest(engine);
     fillRequest(engine, event, request, caller, kind->second);
     ++engine.m_unanswered;
     if (!hasMutant(engine, QueryMutant::NoQuarantine)
-        && isQuarantined(engine.m_fingerprints, now, request.m_fingerprint)) {
+        && isQuarantined(engine.m_fingerprints, event.m_now, request.m_fingerprint)) {
         answerPlain(engine, event, request, Outcome::Failed, Reason::Quarantined);
         return;
     }
     if (isFanOut(request)) {
         if (!pinSnapshot(engine, request)) {
-            answerPlain(engine, event, request, Outcome::NotRun, Reason::NoReplica);
+            refuseRequest(engine, event, request, Reason::NoReplica);
             return;
         }
     } else {
         const ServiceIndex service = selectService(engine, request.m_group, caller);
         if (service == noIndex) {
-            answerPlain(engine, event, request, Outcome::NotRun, Reason::UnknownService);
+            refuseRequest(engine, event, request, Reason::UnknownService);
             return;
         }
         request.m_shards.emplace_back().m_service = service;
@@ -119,4 +128,36 @@
     startRequest(engine, event, request);
 }
 
+} // namespace
+
+void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &caller,
+                   ActionList &actions)
+{
+    const Event event{now, actions};
+    enterEvent(engine, event);
+    ++engine.m_statistics.m_requests;
+    const TimePoint settled = engine.m_resumedAt + settleTime;
+    if (engine.m_resumedAt == TimePoint() || now >= settled) {
+        acceptRequest(engine, event, caller);
+        return;
+    }
+    if (engine.m_deferred.empty()) {
+        startTimer(engine, settled, TimerKind::SubmitDeferred, 0);
+    }
+    engine.m_deferred.push_back(DeferredRequest{caller, now});
+}
+
+void submitDeferred(QueryEngine &engine, const Event &event)
+{
+    const std::vector<DeferredRequest> deferred = std::move(engine.m_deferred);
+    engine.m_deferred.clear();
+    for (const DeferredRequest &waiting : deferred) {
+        CallerRequest caller = waiting.m_caller;
+        if (caller.m_timeout) {
+            *caller.m_timeout -= event.m_now - waiting.m_receivedAt;
+        }
+        acceptRequest(engine, event, caller);
+    }
+}
+
 } // namespace arbutusgrade
--- a/libs/query/tests/healthtest.cpp
+++ b/libs/query/tests/healthtest.cpp
@@ -123,6 +123,9 @@
     EXPECT_LE(grown, 10);
     harness.observe({"s0-t0", true, false, {}, "second", std::nullopt});
     EXPECT_EQ(viewOf(harness, "s0-t0").m_limit, 1);
+    // A lagging probe from before the restart changes nothing.
+    harness.observe({"s0-t0", true, true, {}, "first", std::nullopt});
+    EXPECT_FALSE(viewOf(harness, "s0-t0").m_draining);
 }
 
 // Guards against more connections than the target allows to all nodes together.
@@ -150,6 +153,25 @@
     EXPECT_EQ(violations(harness), 0U);
 }
 
+// Guards against a new attempt on the connection of a cancelled one that is still open.
+TEST(Health, CancelledAttemptHoldsItsConnectionUntilItEnds)
+{
+    Harness harness(makeSettings(1, 2, 2, 2));
+    harness.holdEverywhere({{1, 7}});
+    harness.submit("one", "a");
+    const SendAttempt slow = harness.takeAttempt();
+    harness.pass(std::chrono::milliseconds(40));
+    harness.replyOk(harness.takeAttempt());
+    ASSERT_EQ(harness.m_cancels.size(), 1U);
+    EXPECT_EQ(viewOf(harness, slow.m_target).m_inFlight, 1);
+    harness.pass(std::chrono::milliseconds(170));
+    EXPECT_EQ(viewOf(harness, slow.m_target).m_inFlight, 1);
+    harness.pass(std::chrono::milliseconds(50));
+    EXPECT_EQ(viewOf(harness, slow.m_target).m_inFlight, 0);
+    harness.replyOk(slow);
+    EXPECT_EQ(viewOf(harness, slow.m_target).m_inFlight, 0);
+}
+
 // Guards against a remote target that is used while a local one is free.
 TEST(Health, LocalDataCentreIsPreferredAndTheRemoteOneIsTheFallback)
 {
@@ -234,7 +256,9 @@
 
     Harness peer(makeSettings(1, 3));
     peer.holdEverywhere({{1, 7}});
-    observeQuarantine(*peer.m_engine, peer.m_now, suspect, peer.m_actions);
+    for (const QuarantineNotice &notice : quarantineNotices(*harness.m_engine, harness.m_now)) {
+        observeQuarantine(*peer.m_engine, peer.m_now, notice, peer.m_actions);
+    }
     const CallerId caller = peer.submit("one", "poison");
     peer.fail(peer.takeAttempt(), AttemptFailure::ConnectionLost);
     EXPECT_TRUE(peer.m_attempts.empty());
--- a/libs/targets/include/targets/targets.h
+++ b/libs/targets/include/targets/targets.h
@@ -90,6 +90,7 @@
     std::vector<Snapshot> m_holdings; //!< Ascending.
     TimePoint m_holdingsAt;
     std::string m_startId;
+    std::string m_previousStartId; //!< A probe that names it is older than the restart.
 
     int m_inFlight = 0;   //!< Attempts that occupy a connection.
     double m_limit = 1.0; //!< Adaptive bound of m_inFlight.
@@ -303,6 +304,9 @@
 //! @brief Takes a notice from a peer. The higher count wins, as notices may be repeated.
 void learnQuarantine(FingerprintTable &table, TimePoint now, const QuarantineNotice &notice);
 
+//! @brief Returns the losses that are still remembered, ordered by fingerprint.
+std::vector<QuarantineNotice> activeNotices(const FingerprintTable &table, TimePoint now);
+
 //! @brief Removes entries that have expired; returns the number left.
 std::size_t expireFingerprints(FingerprintTable &table, TimePoint now);
 
