--- a/tests/arbutusgradectl/arbutusgradectltest.cpp
+++ b/tests/arbutusgradectl/arbutusgradectltest.cpp
@@ -173,13 +173,26 @@
 TEST_F(Commands, WaitNamesTheNodesThatLackTheChange)
 {
     m_options.m_wait = true;
-    m_node.setNodes(
-        {8, {{"a", "voss", "alive", 8}, {"b", "voss", "dead", 7}, {"c", "voss", "leaving", 7}}});
+    const Settings settings =
+        parseSettings({"base", inForce().m_document.m_base}, SettingsSource{}).value();
+    NodeList list{8, {}};
+    for (const NodeSettings &node : settings.m_nodes) {
+        list.m_nodes.push_back({node.m_name, node.m_dataCentre, "alive", 8});
+    }
+    list.m_nodes[7] = {"voss-2", "voss", "dead", 7};
+    list.m_nodes[6] = {"voss-1", "voss", "left", 7};
+    list.m_nodes.pop_back(); // voss-3
+    m_node.setNodes(list);
     EXPECT_EQ(applyChangedBase(7), exitNotInForce);
-    EXPECT_THAT(m_out.str(), HasSubstr("in force on 1 of 2 nodes"));
-    EXPECT_THAT(m_error.str(), AllOf(HasSubstr("b (voss, dead, revision 7)"),
-                                     Not(HasSubstr("a (voss")), Not(HasSubstr("c (voss"))));
-    m_node.setNodes({9, {{"a", "voss", "alive", 9}}});
+    EXPECT_THAT(m_out.str(), HasSubstr("in force on 6 of 8 nodes"));
+    EXPECT_THAT(m_error.str(), AllOf(HasSubstr("voss-2 (voss, dead, revision 7)"),
+                                     HasSubstr("voss-3 (voss, not seen, revision unknown)"),
+                                     Not(HasSubstr("voss-1")), Not(HasSubstr("forde"))));
+    list.m_nodes.push_back({"voss-3", "voss", "alive", 9});
+    for (NodeStatus &node : list.m_nodes) {
+        node.m_revision = 9;
+    }
+    m_node.setNodes(list);
     EXPECT_EQ(applyChangedBase(8), exitOk) << m_error.str();
 }
 
--- a/tools/arbutusgradectl/changecommands.cpp
+++ b/tools/arbutusgradectl/changecommands.cpp
@@ -86,10 +86,26 @@
     bool m_wasAsked = false; //!< Some node told the list.
 };
 
-WaitResult splitNodes(const NodeList &list, std::int64_t revision)
+//! Nodes of the settings that the asked node does not know of lack the change too.
+void addUnlistedNodes(const NodeList &list, const std::vector<NodeSettings> &expected,
+                      WaitResult &result)
+{
+    for (const NodeSettings &node : expected) {
+        const bool isListed =
+            std::any_of(list.m_nodes.begin(), list.m_nodes.end(),
+                        [&node](const NodeStatus &other) { return other.m_name == node.m_name; });
+        if (!isListed) {
+            result.m_lacking.push_back(NodeStatus{node.m_name, node.m_dataCentre, "not seen", -1});
+        }
+    }
+}
+
+WaitResult splitNodes(const NodeList &list, const std::vector<NodeSettings> &expected,
+                      std::int64_t revision)
 {
     WaitResult result;
     result.m_wasAsked = true;
+    addUnlistedNodes(list, expected, result);
     for (const NodeStatus &node : list.m_nodes) {
         if (node.m_revision >= revision) {
             result.m_inForce.push_back(node);
@@ -100,8 +116,12 @@
     return result;
 }
 
-WaitResult waitUntilInForce(const CommandOptions &options, std::int64_t revision)
+WaitResult waitUntilInForce(const CommandOptions &options, const std::string &base,
+                            std::int64_t revision)
 {
+    const Checked<Settings> settings = parseSettings({"base", base}, SettingsSource{});
+    const std::vector<NodeSettings> expected =
+        settings.has_value() ? settings.value().m_nodes : std::vector<NodeSettings>();
     const Clock::time_point end = Clock::now() + options.m_timeout;
     const HttpCall call = makeCall(options, "GET", "/v1/admin/nodes", {});
     WaitResult result;
@@ -110,7 +130,7 @@
         const bool isAnswered = answer.m_result == CallResult::Answered && answer.m_status == 200;
         const Checked<NodeList> list = parseNodeList(isAnswered ? answer.m_body : "");
         if (list.has_value()) {
-            result = splitNodes(list.value(), revision);
+            result = splitNodes(list.value(), expected, revision);
         }
         const bool isDone = result.m_wasAsked && result.m_lacking.empty();
         if (isDone || Clock::now() >= end) {
@@ -147,16 +167,17 @@
     }
 }
 
-int reportAccepted(std::int64_t revision, const std::string &changeId,
+int reportAccepted(std::int64_t revision, const ConfigurationWrite &write,
                    const CommandOptions &options, const CommandOutput &output)
 {
+    const std::string &changeId = write.m_changeId;
     json::object answer{{"revision", revision}, {"changeId", changeId}};
     if (!options.m_json) {
         output.m_out << "accepted as revision " << revision << " (change " << changeId << ")\n";
     }
     int exitCode = exitOk;
     if (options.m_wait) {
-        const WaitResult result = waitUntilInForce(options, revision);
+        const WaitResult result = waitUntilInForce(options, write.m_base, revision);
         exitCode = result.m_wasAsked && result.m_lacking.empty() ? exitOk : exitNotInForce;
         answer["inForce"] = namesOf(result.m_inForce);
         answer["lacking"] = namesOf(result.m_lacking);
@@ -170,16 +191,17 @@
     return exitCode;
 }
 
-int settleAndReport(const std::string &changeId, const CommandOptions &options,
+int settleAndReport(const ConfigurationWrite &write, const CommandOptions &options,
                     const CommandOutput &output)
 {
+    const std::string &changeId = write.m_changeId;
     if (!options.m_json) {
         output.m_error << "arbutusgradectl: no clear answer; looking up change " << changeId
                        << "\n";
     }
     const AnswerChange change = settleChange(options, changeId);
     if (change.m_state == ChangeState::Accepted) {
-        return reportAccepted(change.m_revision, changeId, options, output);
+        return reportAccepted(change.m_revision, write, options, output);
     }
     return reportUnsettled(change.m_state, changeId, options, output);
 }
@@ -194,18 +216,17 @@
         return reportFailure(answer, output);
     }
     if (answer.m_result == CallResult::NoAnswer) {
-        return settleAndReport(write.m_changeId, options, output);
+        return settleAndReport(write, options, output);
     }
     const Checked<AnswerWrite> result = parseChangeAnswer(answer.m_status, answer.m_body);
     if (result.has_error()) {
         // A status that the API does not define for a change, for example a missing right.
         const bool isRefused = answer.m_status >= 400 && answer.m_status < 500;
-        return isRefused ? reportFailure(answer, output)
-                         : settleAndReport(write.m_changeId, options, output);
+        return isRefused ? reportFailure(answer, output) : settleAndReport(write, options, output);
     }
     switch (result.value().m_result) {
     case WriteResult::Accepted:
-        return reportAccepted(result.value().m_revision, write.m_changeId, options, output);
+        return reportAccepted(result.value().m_revision, write, options, output);
     case WriteResult::Conflict:
         return reportConflict(result.value(), options, output);
     case WriteResult::Invalid:
@@ -215,7 +236,7 @@
     case WriteResult::Unknown:
         break;
     }
-    return settleAndReport(write.m_changeId, options, output);
+    return settleAndReport(write, options, output);
 }
 
 ConfigurationWrite makeWrite(const CommandOptions &options, const ConfigurationDocument &document)
