Tell quarantines at once and contact all seeds right after the start

Cause: the test that sends a crashing request through all nodes lost four targets instead of two. Nodes contacted one seed a second after the start, so they did not know each other yet, and a second notice within 50 ms of the first waited for the next push.

Ruled out: a shorter interval for all pushes (a burst of drains would take the byte limit).

Change: quarantine notices are pushed without waiting; each seed is contacted once within 100 ms steps after the start.

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -295,6 +295,7 @@
     std::vector<std::string> m_probeOrder;          //!< Shuffled members of the data centre.
     TimePoint m_nextPeriod{};
     TimePoint m_nextSeed{};
+    std::size_t m_seedContacts = 0;
     TimePoint m_nextStrayCross{};
     TimePoint m_nextSync{};
     TimePoint m_nextPush{};
--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -320,6 +320,8 @@
     entry.m_until = std::max(entry.m_until, until);
     entry.m_transmits = transmitCount(core);
     actions.emplace_back(QuarantineLearned{update});
+    // The next send of the request may reach another node within milliseconds.
+    core.m_nextPush = now;
     pushUrgent(core, now, actions);
 }
 
--- a/libs/membership/src/probes.cpp
+++ b/libs/membership/src/probes.cpp
@@ -13,6 +13,8 @@
 using membershipdetails::takeRandom;
 
 constexpr Duration seedInterval{1'000'000};
+//! After the start, until each seed was contacted about once.
+constexpr Duration firstSeedInterval{100'000};
 
 //! @brief The member to probe next: in random rounds, suspected ones more often.
 std::optional<std::string> chooseMember(MembershipCore &core)
@@ -143,7 +145,8 @@
     if (now < core.m_nextSeed) {
         return;
     }
-    core.m_nextSeed = now + seedInterval;
+    const bool joining = core.m_seedContacts < core.m_seeds.size();
+    core.m_nextSeed = now + (joining ? firstSeedInterval : seedInterval);
     std::vector<Destination> silent;
     for (const std::pair<const std::string, MembershipSeed> &entry : core.m_seeds) {
         if (!core.m_members.contains(entry.first)) {
@@ -156,6 +159,7 @@
         }
     }
     if (!silent.empty()) {
+        ++core.m_seedContacts;
         sendPing(core, now, takeRandom(core.m_random, silent), ++core.m_sequence, actions);
     }
 }
--- a/libs/membership/tests/membershiptest.cpp
+++ b/libs/membership/tests/membershiptest.cpp
@@ -259,6 +259,24 @@
     EXPECT_EQ(countSeen<QuarantineLearned>("b1"), 1U);
 }
 
+// Guards against a crashing request that is sent again to another node faster than its losses are
+// told, shortly after the start and with several losses within the interval of pushes.
+TEST_F(MembershipTest, EachQuarantineNoticeIsToldWithinAFewMilliseconds)
+{
+    addNode("a1", "a");
+    addNode("b1", "b");
+    addNode("c1", "c");
+    runFor(second);
+    for (int lost = 1; lost <= 2; ++lost) {
+        MembershipActions actions;
+        shareQuarantine(m_nodes["a1"].m_core, m_now, {42, lost, second * 600}, actions);
+        perform("a1", actions);
+        runFor(tick * 2);
+        EXPECT_EQ(m_nodes["b1"].m_core.m_quarantines[42].m_lostTargets, lost);
+        EXPECT_EQ(m_nodes["c1"].m_core.m_quarantines[42].m_lostTargets, lost);
+    }
+}
+
 // Guards against a drain that ends because the health of the target lags behind its replies.
 TEST_F(MembershipTest, LaggingHealthDoesNotEndADrain)
 {
