Check team tokens, rights and quotas, and refuse queries before readiness

Cause: every caller could change the configuration; a node that had not yet learned the configuration in force answered queries by its start-up files, which an accepted change may have replaced. Ruled out: starting without settings, as a node learns its addresses from them. Change: administration calls need the token of a team where the settings name teams (401), changes and drains outside its rights are refused with findings (403), a team's request quota is enforced (429), and queries get 503 until the node is ready. The parser of changes is that of libs/administration, which lists all findings of a bad body.

--- a/libs/cluster/src/administrationservice.cpp
+++ b/libs/cluster/src/administrationservice.cpp
@@ -39,6 +39,18 @@
     return text;
 }
 
+HttpResponse respondFindings(int status, const std::vector<Finding> &findings)
+{
+    json::array list;
+    for (const Finding &finding : findings) {
+        list.push_back({{"file", finding.m_file},
+                        {"line", finding.m_line},
+                        {"column", finding.m_column},
+                        {"message", finding.m_message}});
+    }
+    return respond(status, {{"findings", std::move(list)}});
+}
+
 HttpResponse respondWrite(const AnswerWrite &answer)
 {
     switch (answer.m_result) {
@@ -49,16 +61,8 @@
                              {"changeId", answer.m_changeId},
                              {"author", answer.m_author},
                              {"difference", answer.m_difference}});
-    case WriteResult::Invalid: {
-        json::array findings;
-        for (const Finding &finding : answer.m_findings) {
-            findings.push_back({{"file", finding.m_file},
-                                {"line", finding.m_line},
-                                {"column", finding.m_column},
-                                {"message", finding.m_message}});
-        }
-        return respond(422, {{"findings", std::move(findings)}});
-    }
+    case WriteResult::Invalid:
+        return respondFindings(422, answer.m_findings);
     case WriteResult::NotApplied:
         return respond(503, {{"error", answer.m_error}, {"applied", "no"}});
     case WriteResult::Unknown:
@@ -80,44 +84,6 @@
     return "unknown";
 }
 
-//! @brief Reads the body of a change; empty if it has the wrong form.
-std::optional<ConfigurationWrite> parseWrite(const std::string &body)
-{
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    if (error || !value.is_object()) {
-        return std::nullopt;
-    }
-    const json::object &object = value.get_object();
-    const json::value *changeId = object.if_contains("changeId");
-    const json::value *expected = object.if_contains("expectedRevision");
-    const json::value *author = object.if_contains("author");
-    const json::value *base = object.if_contains("base");
-    const json::value *overlays = object.if_contains("overlays");
-    if (changeId == nullptr || !changeId->is_string() || changeId->get_string().empty()
-        || changeId->get_string().size() > changeIdLimitBytes || expected == nullptr
-        || !expected->is_int64() || author == nullptr || !author->is_string() || base == nullptr
-        || !base->is_string() || (overlays != nullptr && !overlays->is_object())) {
-        return std::nullopt;
-    }
-    ConfigurationWrite write;
-    write.m_changeId = std::string(changeId->get_string());
-    write.m_author = std::string(author->get_string());
-    write.m_expectedRevision = expected->get_int64();
-    write.m_base = std::string(base->get_string());
-    write.m_summary = "apply";
-    if (overlays != nullptr) {
-        for (const json::key_value_pair &overlay : overlays->get_object()) {
-            if (!overlay.value().is_string()) {
-                return std::nullopt;
-            }
-            write.m_overlays[std::string(overlay.key())] =
-                std::string(overlay.value().get_string());
-        }
-    }
-    return write;
-}
-
 bool hasTarget(const Settings &settings, const std::string &name)
 {
     for (const GroupSettings &group : settings.m_groups) {
@@ -136,29 +102,26 @@
 
 void ClusterService::addRoutes()
 {
-    HttpServer &server = m_shell.server();
-    server.addRoute("GET", "/v1/admin/configuration",
-                    [this](const HttpRequest &, const HttpResponder &responder) {
-                        showConfiguration(responder);
-                    });
-    server.addRoute("POST", "/v1/admin/configuration",
-                    [this](const HttpRequest &request, const HttpResponder &responder) {
-                        submitConfiguration(request, responder);
-                    });
-    server.addRoute("GET", changesPath,
-                    [this](const HttpRequest &request, const HttpResponder &responder) {
-                        showChange(request, responder);
-                    });
-    server.addRoute(
-        "GET", "/v1/admin/nodes",
-        [this](const HttpRequest &, const HttpResponder &responder) { showNodes(responder); });
-    server.addRoute("POST", targetsPath,
-                    [this](const HttpRequest &request, const HttpResponder &responder) {
-                        changeDraining(request, responder);
-                    });
+    addRoute("GET", "/v1/admin/configuration", &ClusterService::showConfiguration);
+    addRoute("POST", "/v1/admin/configuration", &ClusterService::submitConfiguration);
+    addRoute("GET", changesPath, &ClusterService::showChange);
+    addRoute("GET", "/v1/admin/nodes", &ClusterService::showNodes);
+    addRoute("POST", targetsPath, &ClusterService::changeDraining);
+}
+
+void ClusterService::addRoute(std::string_view method, std::string_view path, Route route)
+{
+    m_shell.server().addRoute(
+        std::string(method), std::string(path),
+        [this, route](const HttpRequest &request, const HttpResponder &responder) {
+            if (authorize(request, responder)) {
+                (this->*route)(request, responder);
+            }
+        });
 }
 
-void ClusterService::showConfiguration(const HttpResponder &responder) const
+void ClusterService::showConfiguration(const HttpRequest & /*request*/,
+                                       const HttpResponder &responder)
 {
     const ConfigurationDocument &document = m_configuration.m_document;
     json::object overlays;
@@ -199,13 +162,18 @@
 
 void ClusterService::submitConfiguration(const HttpRequest &request, const HttpResponder &responder)
 {
-    const std::optional<ConfigurationWrite> write = parseWrite(request.m_body);
+    const Checked<ConfigurationWrite> write = parseChangeRequest(request.m_body);
     if (!write) {
-        responder(
-            respondError(400, "expected {changeId, expectedRevision, author, base, overlays}"));
+        responder(respondFindings(400, write.error()));
+        return;
+    }
+    const std::vector<Finding> forbidden = findForbidden(request, write.value());
+    if (!forbidden.empty()) {
+        responder(respondFindings(403, forbidden));
         return;
     }
-    submit(*write, [responder](const AnswerWrite &answer) { responder(respondWrite(answer)); });
+    submit(write.value(),
+           [responder](const AnswerWrite &answer) { responder(respondWrite(answer)); });
 }
 
 void ClusterService::showChange(const HttpRequest &request, const HttpResponder &responder)
@@ -230,7 +198,7 @@
         200, {{"state", changeStateName(action.m_state)}, {"revision", action.m_revision}}));
 }
 
-void ClusterService::showNodes(const HttpResponder &responder) const
+void ClusterService::showNodes(const HttpRequest & /*request*/, const HttpResponder &responder)
 {
     json::array nodes;
     for (const MemberView &view : memberViews(m_membership, steadyNow())) {
@@ -259,6 +227,11 @@
         responder(respondError(404, "no target named " + target));
         return;
     }
+    const TeamSettings *team = teamOf(request);
+    if (team != nullptr && !mayDrainTarget(*team, m_shell.settings(), target)) {
+        responder(respondError(403, "team " + team->m_name + " may not drain target " + target));
+        return;
+    }
     // At revision 0 a node has the overlay of its own site only, and would drop the others.
     if (m_configuration.m_revision == 0) {
         responder(
--- a/libs/cluster/src/clusterservice.cpp
+++ b/libs/cluster/src/clusterservice.cpp
@@ -76,6 +76,7 @@
     };
     feedSeeds(m_options.m_files);
     listenToShell();
+    installTeamRules();
     addRoutes();
 }
 
--- a/libs/cluster/src/details/clusterservice.h
+++ b/libs/cluster/src/details/clusterservice.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "administration/administration.h"
 #include "cluster/cluster.h"
 #include "configuration/configuration.h"
 #include "membership/membership.h"
@@ -73,17 +74,30 @@
     void perform(const AnswerChange &action);
     void takeStoreReply(std::uint64_t call, ConfigurationCallKind kind, const StoreReply &reply);
 
+    // teams.cpp
+    void installTeamRules();
+    bool takeQuota(const std::string &team);
+    //! Answers 401 unless the settings name no teams or the token belongs to one.
+    bool authorize(const HttpRequest &request, const HttpResponder &responder) const;
+    //! The team of the request's token; null where the settings name no teams.
+    const TeamSettings *teamOf(const HttpRequest &request) const;
+    std::vector<Finding> findForbidden(const HttpRequest &request,
+                                       const ConfigurationWrite &write) const;
+
     // administrationservice.cpp
     void addRoutes();
-    void showConfiguration(const HttpResponder &responder) const;
+    using Route = void (ClusterService::*)(const HttpRequest &, const HttpResponder &);
+    void addRoute(std::string_view method, std::string_view path, Route route);
+    void showConfiguration(const HttpRequest &request, const HttpResponder &responder);
     void submitConfiguration(const HttpRequest &request, const HttpResponder &responder);
     void showChange(const HttpRequest &request, const HttpResponder &responder);
-    void showNodes(const HttpResponder &responder) const;
+    void showNodes(const HttpRequest &request, const HttpResponder &responder);
     void changeDraining(const HttpRequest &request, const HttpResponder &responder);
     void writeDraining(const std::string &target, bool draining, int tries,
                        const HttpResponder &responder);
     void submit(ConfigurationWrite write, Responder responder);
 
+    std::map<std::string, TokenBucket> m_quotas; //!< By team.
     NodeShell &m_shell;
     ClusterOptions m_options;
     NodeSettings m_self;
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -114,6 +114,9 @@
     //! By default any token, or none, is accepted without a name.
     void setTeamRule(std::function<std::optional<std::string>(std::string_view token)> rule);
 
+    //! @brief Decides whether a team may send another request now; by default it may.
+    void setQuotaRule(std::function<bool(const std::string &team)> rule);
+
     //! @brief Settings in force.
     const Settings &settings() const;
 
--- a/libs/node/src/details/nodeimplementation.h
+++ b/libs/node/src/details/nodeimplementation.h
@@ -57,6 +57,7 @@
     // Status pages (statuspages.cpp)
     void addStatusRoutes();
     std::vector<std::string> unreadyReasons() const;
+    std::optional<std::string> unconfiguredReason() const;
     boost::json::object status() const;
     MetricFamilies metrics();
 
@@ -88,6 +89,7 @@
     std::vector<std::function<void(const ShareDrain &)>> m_drainListeners;
     std::vector<std::function<void(const ShareQuarantine &)>> m_quarantineListeners;
     std::function<std::optional<std::string>(std::string_view)> m_teamRule;
+    std::function<bool(const std::string &)> m_quotaRule;
 
     bool m_running = false;
     bool m_shuttingDown = false;
--- a/libs/node/src/nodeshell.cpp
+++ b/libs/node/src/nodeshell.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include <boost/json/serialize.hpp>
+
 #include "details/answers.h"
 #include "details/callerrequest.h"
 #include "details/nodeimplementation.h"
@@ -190,6 +192,15 @@
 
 void NodeShell::Implementation::submit(const HttpRequest &request, const HttpResponder &responder)
 {
+    // Before the configuration in force is known, an answer could follow one that was replaced.
+    if (const std::optional<std::string> reason = unconfiguredReason()) {
+        HttpResponse response;
+        response.m_status = 503;
+        response.m_body = boost::json::serialize(
+            boost::json::object{{"error", "the node is not ready: " + *reason}});
+        responder(std::move(response));
+        return;
+    }
     std::optional<std::string> team = std::string();
     if (m_teamRule) {
         team = m_teamRule(request.header("X-Team-Token"));
@@ -207,6 +218,14 @@
         responder(findingsResponse(findings));
         return;
     }
+    if (m_quotaRule && !m_quotaRule(*team)) {
+        CallerAnswer answer;
+        answer.m_requestId = parsed.m_requestId;
+        answer.m_outcome = parsed.m_sendNumber <= 1 ? Outcome::NotRun : Outcome::OutcomeUnknown;
+        answer.m_reason = Reason::QuotaExceeded;
+        responder(formatAnswer(answer));
+        return;
+    }
     parsed.m_caller = ++m_lastCaller;
     parsed.m_team = *team;
     parsed.m_trace = traceOf(request);
@@ -216,6 +235,16 @@
     });
 }
 
+std::optional<std::string> NodeShell::Implementation::unconfiguredReason() const
+{
+    for (const std::unique_ptr<NodeService> &service : m_services) {
+        if (std::optional<std::string> reason = service->unreadyReason()) {
+            return reason;
+        }
+    }
+    return std::nullopt;
+}
+
 TraceContext NodeShell::Implementation::traceOf(const HttpRequest &request)
 {
     if (const std::optional<TraceContext> trace = parseTraceparent(request.header("traceparent"))) {
@@ -303,6 +332,11 @@
     m_implementation->m_teamRule = std::move(rule);
 }
 
+void NodeShell::setQuotaRule(std::function<bool(const std::string &team)> rule)
+{
+    m_implementation->m_quotaRule = std::move(rule);
+}
+
 const Settings &NodeShell::settings() const
 {
     return m_implementation->m_settings;
