--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -161,8 +161,7 @@
 //! @brief Tell a target that the result of an attempt is no longer wanted. Best effort.
 //!
 //! The attempt occupies its connection until the shell passes on its reply or failure, for at most
-//! 1.1 s. The shell closes the connection after 1 s and reports an earlier end, so that the share
-//! of connections is free again.
+//! 200 ms; the shell closes the connection before that.
 struct CancelAttempt
 {
     AttemptId m_attempt = 0;
--- a/libs/query/src/details/jobs.h
+++ b/libs/query/src/details/jobs.h
@@ -47,9 +47,16 @@
 void drainQueue(QueryEngine &engine, const Event &event, ServiceIndex service);
 void kickService(QueryEngine &engine, const Event &event, ServiceIndex service);
 
+// submit.cpp
+
+//! Accepts the requests that came right after a pause.
+void submitDeferred(QueryEngine &engine, const Event &event);
+
 // budget.cpp
 
 void earnBudget(GroupRuntime &group, TimePoint now) noexcept;
+//! Pays for repeating the attempts of a request on another snapshot.
+bool spendRestart(QueryEngine &engine, GroupIndex group, std::size_t attempts);
 bool spendBudget(QueryEngine &engine, GroupIndex group);
 
 //! @brief Counts an extra attempt and checks it against what first attempts have earned.
--- a/libs/query/src/details/state.h
+++ b/libs/query/src/details/state.h
@@ -146,6 +146,8 @@
     std::uint64_t m_extraAttempts = 0;
     TimePoint m_windowStart;
     std::uint64_t m_windowAttempts = 0;
+    double m_restartTokens = 0; //!< May be negative after a restart of many shards.
+    std::uint64_t m_restartAttempts = 0;
 };
 
 //! @brief A snapshot and how many services of its epoch have a usable replica that may hold it.
@@ -182,6 +184,7 @@
     HedgeCheck,
     CancelHold,
     ServiceKick,
+    SubmitDeferred,
     ClaimRetry,
     RequestLinger,
     Housekeeping,
@@ -196,6 +199,13 @@
     ShardIndex m_shard = 0;
 };
 
+//! @brief A request that waits until the node has read what it missed during a pause.
+struct DeferredRequest
+{
+    CallerRequest m_caller;
+    TimePoint m_receivedAt;
+};
+
 struct QueryEngine
 {
     QueryOptions m_options;
@@ -238,7 +248,8 @@
 
     bool m_started = false;
     TimePoint m_lastEvent;
-    TimePoint m_resumedAt; //!< End of the last pause.
+    TimePoint m_resumedAt;                   //!< End of the last pause.
+    std::vector<DeferredRequest> m_deferred; //!< Came right after a pause.
 };
 
 //! @brief Where the functions of one event add their actions, and its time.
