Break store connections at once in stress runs, use valid change ids in a test

Cause: stress-mutant-claim-lost-means-held passed 60 runs unnoticed. A lost reply showed only at the deadline of the store call, when the order had expired, so the mutant never came into play. cluster-test sent change ids of 5 letters, which docs/admin-api.md rules out and the daemon refuses since it uses the shared parser. Ruled out: a weak check of at-most-once; it fires as soon as the call fails early. Change: half of the lost calls fail at once, as a broken connection does; the test's ids have 12 letters.

--- a/tests/clustertest.cpp
+++ b/tests/clustertest.cpp
@@ -82,14 +82,14 @@
 {
     m_site.startNodes();
     EXPECT_TRUE(waitFor(seconds(10), [this] { return countAt(0, "alive") == 6; }));
-    const HttpReply accepted = apply(1, "first", 0);
+    const HttpReply accepted = apply(1, "change-first", 0);
     ASSERT_EQ(accepted.m_status, 200U) << accepted.m_body;
     const std::int64_t revision = jsonBody(accepted).at("revision").to_number<std::int64_t>();
     EXPECT_TRUE(waitFor(seconds(5), [&] { return allAtRevision(revision); }));
-    EXPECT_EQ(apply(2, "second", 0).m_status, 409U);
-    EXPECT_EQ(jsonBody(apply(3, "first", 0)).at("revision"), revision);
-    EXPECT_EQ(get(4, "/v1/admin/changes/first").at("state"), "accepted");
-    EXPECT_EQ(get(4, "/v1/admin/changes/third").at("state"), "absent");
+    EXPECT_EQ(apply(2, "change-second", 0).m_status, 409U);
+    EXPECT_EQ(jsonBody(apply(3, "change-first", 0)).at("revision"), revision);
+    EXPECT_EQ(get(4, "/v1/admin/changes/change-first").at("state"), "accepted");
+    EXPECT_EQ(get(4, "/v1/admin/changes/change-third").at("state"), "absent");
     const std::string target = serviceName(m_site.plan().m_groups[0], 0) + "-1";
     const HttpReply drained =
         httpCall(m_site.callerPort(5), "POST", "/v1/admin/targets/" + target + "/drain");
@@ -103,7 +103,7 @@
 TEST_F(ClusterTest, RestartedNodeTakesTheRevisionFromPeersWhileTheStoreIsDown)
 {
     m_site.startNodes();
-    const HttpReply accepted = apply(0, "first", 0);
+    const HttpReply accepted = apply(0, "change-first", 0);
     ASSERT_EQ(accepted.m_status, 200U) << accepted.m_body;
     const std::int64_t revision = jsonBody(accepted).at("revision").to_number<std::int64_t>();
     EXPECT_TRUE(waitFor(seconds(5), [&] { return allAtRevision(revision); }));
--- a/tools/arbutusgrade-stress/requestactions.cpp
+++ b/tools/arbutusgrade-stress/requestactions.cpp
@@ -125,7 +125,9 @@
                       });
     };
     if (callLost || replyLost) {
-        m_queue.schedule(call.m_deadline, [answer, unavailable]() { answer(unavailable); });
+        // A connection that breaks is noticed at once, a silent store at the deadline only.
+        const TimePoint noticed = chance(0.5) ? m_queue.now() + travel + travel : call.m_deadline;
+        m_queue.schedule(noticed, [answer, unavailable]() { answer(unavailable); });
     }
     if (callLost) {
         return;
