Delay the answer of a crashing request until the peers know of it

The caller sent the request to the next node within a millisecond of the answer, before the notice of the lost targets came there. Ruled out: missing notices; they are pushed at once, but an answer and a push leave at the same time. Also ruled out: a store call before each unknown payload, as it would cost 58,000 calls a second at the design size. Change: the answer of an idempotent request that lost a target waits 100 ms or until its deadline, whichever is earlier. Once requests do not wait, since their claim keeps re-sends from running. An unused constant in libs/cluster is removed.

--- a/libs/cluster/src/administrationservice.cpp
+++ b/libs/cluster/src/administrationservice.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::string_view changesPath = "/v1/admin/changes/";
 constexpr std::string_view targetsPath = "/v1/admin/targets/";
-constexpr std::size_t changeIdLimitBytes = 128;
 constexpr int drainTries = 3;
 
 HttpResponse respond(int status, const json::object &body)
--- a/libs/query/src/coverage.cpp
+++ b/libs/query/src/coverage.cpp
@@ -9,6 +9,9 @@
 //! Slow once requests report late; their outcome is still recorded within this time.
 constexpr Duration lingerTime = std::chrono::seconds(60);
 
+//! Urgent notices reach all nodes of a data centre within this time.
+constexpr Duration noticeTravelTime = std::chrono::milliseconds(100);
+
 //! Part of the deadline that passes before open shards may be left out.
 constexpr std::int64_t earlyAnswerDivisor = 4;
 
@@ -108,6 +111,17 @@
                    "request " + request.m_caller.m_requestId + " may have run");
 }
 
+//! A caller that sends a crashing request again does so after its answer. By then the other nodes
+//! have to know of the targets lost, or each of them loses two more.
+void delayAnswer(QueryEngine &engine, const Event &event, const Request &request,
+                 CallerAnswer answer)
+{
+    const TimePoint at =
+        std::max(event.m_now, std::min(request.m_deadline, event.m_now + noticeTravelTime));
+    engine.m_delayedAnswers.push_back(DelayedAnswer{at, std::move(answer)});
+    startTimer(engine, at, TimerKind::SendDelayedAnswers, 0);
+}
+
 //! Gives the answer and ends the work of the request.
 void deliver(QueryEngine &engine, const Event &event, Request &request, CallerAnswer answer)
 {
@@ -117,7 +131,13 @@
     --engine.m_unanswered;
     ++engine.m_statistics.m_answers;
     ++engine.m_statistics.m_outcomes[static_cast<std::size_t>(answer.m_outcome)];
-    event.m_actions.emplace_back(AnswerCaller{std::move(answer)});
+    const bool suspect = isSuspect(engine.m_fingerprints, event.m_now, request.m_fingerprint);
+    // The claim of a once request already keeps its re-sends from running.
+    if (suspect && request.m_sent > 0 && request.m_mode != AnswerMode::Once) {
+        delayAnswer(engine, event, request, std::move(answer));
+    } else {
+        event.m_actions.emplace_back(AnswerCaller{std::move(answer)});
+    }
     for (SubRequest &shard : request.m_shards) {
         dequeueShard(engine, request, shard);
     }
@@ -143,6 +163,17 @@
     return mode == AnswerMode::Once ? Outcome::OutcomeUnknown : Outcome::Failed;
 }
 
+void sendDelayedAnswers(QueryEngine &engine, const Event &event)
+{
+    const auto due = std::stable_partition(
+        engine.m_delayedAnswers.begin(), engine.m_delayedAnswers.end(),
+        [&event](const DelayedAnswer &delayed) { return delayed.m_at > event.m_now; });
+    for (auto delayed = due; delayed != engine.m_delayedAnswers.end(); ++delayed) {
+        event.m_actions.emplace_back(AnswerCaller{std::move(delayed->m_answer)});
+    }
+    engine.m_delayedAnswers.erase(due, engine.m_delayedAnswers.end());
+}
+
 void giveUpShard(QueryEngine &engine, const Event &event, Request &request, ShardIndex index,
                  Reason reason)
 {
--- a/libs/query/src/details/jobs.h
+++ b/libs/query/src/details/jobs.h
@@ -129,6 +129,9 @@
 //! request id can have run.
 Outcome refusalOutcome(AnswerMode mode, int sendNumber, bool claimRead) noexcept;
 
+//! @brief Gives the answers whose delay has ended.
+void sendDelayedAnswers(QueryEngine &engine, const Event &event);
+
 //! @brief Ends a shard without a result; answers the request if it was the last open one.
 void giveUpShard(QueryEngine &engine, const Event &event, Request &request, ShardIndex shard,
                  Reason reason);
--- a/libs/query/src/details/state.h
+++ b/libs/query/src/details/state.h
@@ -185,6 +185,7 @@
     CancelHold,
     ServiceKick,
     SubmitDeferred,
+    SendDelayedAnswers,
     ClaimRetry,
     RequestLinger,
     Housekeeping,
@@ -206,6 +207,13 @@
     TimePoint m_receivedAt;
 };
 
+//! @brief An answer that waits until the peers know of the targets that its request crashed.
+struct DelayedAnswer
+{
+    TimePoint m_at;
+    CallerAnswer m_answer;
+};
+
 struct QueryEngine
 {
     QueryOptions m_options;
@@ -250,6 +258,7 @@
     TimePoint m_lastEvent;
     TimePoint m_resumedAt;                   //!< End of the last pause.
     std::vector<DeferredRequest> m_deferred; //!< Came right after a pause.
+    std::vector<DelayedAnswer> m_delayedAnswers;
 };
 
 //! @brief Where the functions of one event add their actions, and its time.
--- a/libs/query/src/timers.cpp
+++ b/libs/query/src/timers.cpp
@@ -115,6 +115,9 @@
     case TimerKind::SubmitDeferred:
         submitDeferred(engine, event);
         break;
+    case TimerKind::SendDelayedAnswers:
+        sendDelayedAnswers(engine, event);
+        break;
     case TimerKind::ClaimRetry:
         retryClaimCall(engine, event, timer.m_subject);
         break;
--- a/libs/query/tests/healthtest.cpp
+++ b/libs/query/tests/healthtest.cpp
@@ -262,10 +262,28 @@
     const CallerId caller = peer.submit("one", "poison");
     peer.fail(peer.takeAttempt(), AttemptFailure::ConnectionLost);
     EXPECT_TRUE(peer.m_attempts.empty());
+    peer.pass(std::chrono::milliseconds(110));
     ASSERT_NE(peer.answer(caller), nullptr);
     EXPECT_EQ(peer.answer(caller)->m_reason, Reason::Quarantined);
 }
 
+// Guards against a re-send that reaches another node before the notice of the targets lost.
+TEST(Quarantine, AnswerWaitsUntilThePeersKnow)
+{
+    Harness harness(makeSettings(1, 3));
+    harness.holdEverywhere({{1, 7}});
+    const CallerId caller = harness.submit("one", "poison");
+    harness.fail(harness.takeAttempt(), AttemptFailure::ConnectionLost);
+    harness.fail(harness.takeAttempt(), AttemptFailure::ConnectionLost);
+    EXPECT_EQ(harness.m_quarantines.size(), 2U);
+    harness.pass(std::chrono::milliseconds(95));
+    EXPECT_EQ(harness.answer(caller), nullptr);
+    EXPECT_EQ(requestsInFlight(*harness.m_engine), 1U);
+    harness.pass(std::chrono::milliseconds(300));
+    ASSERT_NE(harness.answer(caller), nullptr);
+    EXPECT_EQ(harness.m_answers.at(caller).size(), 1U);
+}
+
 // Guards against a rack that fails and takes each request that ran there into quarantine.
 TEST(Quarantine, LossOfSeveralTargetsAtOnceQuarantinesNoProvenRequest)
 {
