--- a/tools/arbutusgrade-stress/scenario.cpp
+++ b/tools/arbutusgrade-stress/scenario.cpp
@@ -6,7 +6,7 @@
 
 std::span<const Scenario> allScenarios()
 {
-    static const std::array<Scenario, 1> scenarios{requestScenario};
+    static const std::array<Scenario, 2> scenarios{requestScenario, configurationScenario};
     return scenarios;
 }
 
--- a/tools/arbutusgrade-stress/scenario.h
+++ b/tools/arbutusgrade-stress/scenario.h
@@ -57,4 +57,7 @@
 //! @brief Requests of callers against several nodes, targets and a store with faults.
 extern const Scenario requestScenario;
 
+//! @brief Configuration between several nodes and a store with faults.
+extern const Scenario configurationScenario;
+
 } // namespace arbutusgrade::stress
