--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -13,7 +13,9 @@
 struct MemberUpdate {
     1: string name,
     2: i64 incarnation,
-    3: MemberState state,
+    // A MemberState. As a plain number, since generated code stores any received value in the enum,
+    // which is undefined where it has no such enumerator.
+    3: i32 state,
     4: optional string dataCentre,
     5: optional string address,
     6: optional i32 peerPort,
@@ -52,7 +54,7 @@
 }
 
 struct Gossip {
-    1: GossipType type,
+    1: i32 type, // A GossipType, see MemberUpdate.state.
     2: string sender,
     3: i64 incarnation,
     4: i64 sequence,
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -86,7 +86,7 @@
     wire::MemberUpdate encoded;
     encoded.__set_name(update.m_name);
     encoded.__set_incarnation(signedOf(update.m_incarnation));
-    encoded.__set_state(static_cast<wire::MemberState::type>(static_cast<int>(update.m_state) + 1));
+    encoded.__set_state(static_cast<std::int32_t>(update.m_state) + 1);
     if (!update.m_address.empty()) {
         encoded.__set_dataCentre(update.m_dataCentre);
         encoded.__set_address(update.m_address);
@@ -130,7 +130,7 @@
 
 bool fromWire(const wire::MemberUpdate &encoded, MemberUpdate &update)
 {
-    const int state = static_cast<int>(encoded.state) - 1;
+    const std::int64_t state = std::int64_t{encoded.state} - 1;
     if (!isName(encoded.name) || state < static_cast<int>(MemberState::Alive)
         || state > static_cast<int>(MemberState::Left) || !isPort(encoded.peerPort)
         || !isPort(encoded.callerPort) || encoded.dataCentre.size() > nameLimitBytes
@@ -241,7 +241,7 @@
 std::string encodeGossip(const GossipMessage &message)
 {
     wire::Gossip encoded;
-    encoded.__set_type(static_cast<wire::GossipType::type>(static_cast<int>(message.m_type) + 1));
+    encoded.__set_type(static_cast<std::int32_t>(message.m_type) + 1);
     encoded.__set_sender(message.m_sender);
     encoded.__set_incarnation(signedOf(message.m_incarnation));
     encoded.__set_sequence(signedOf(message.m_sequence));
@@ -265,7 +265,7 @@
         return decoded.error();
     }
     const wire::Gossip &encoded = decoded.value();
-    const int type = static_cast<int>(encoded.type) - 1;
+    const std::int64_t type = std::int64_t{encoded.type} - 1;
     GossipMessage message;
     if (!isName(encoded.sender) || type < static_cast<int>(GossipType::Ping)
         || type > static_cast<int>(GossipType::Nack) || encoded.configurationRevision < 0
