Add the membership scenario; learn of a seed from any of its answers

Its pings to the seed were answered, but an answer carries the place of its sender a few times only, and the receiver dropped answers of nodes that it had no place for. Change: a sender that the settings name is added with the place from the settings.

--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -172,9 +172,19 @@
 void noteSender(MembershipCore &core, TimePoint now, const GossipMessage &message,
                 MembershipActions &actions)
 {
-    const auto found = core.m_members.find(message.m_sender);
+    auto found = core.m_members.find(message.m_sender);
     if (found == core.m_members.end()) {
-        return;
+        if (!core.m_seeds.contains(message.m_sender)) {
+            return;
+        }
+        // A node tells its own place a few times only, so an answer may come without it; the
+        // settings name the place.
+        MemberUpdate update;
+        update.m_name = message.m_sender;
+        update.m_incarnation = message.m_incarnation;
+        update.m_revision = message.m_revision;
+        membershipdetails::applyMember(core, now, update, actions);
+        found = core.m_members.find(message.m_sender);
     }
     Member &member = found->second;
     if (message.m_incarnation >= member.m_update.m_incarnation) {
--- a/libs/membership/tests/membershiptest.cpp
+++ b/libs/membership/tests/membershiptest.cpp
@@ -149,6 +149,23 @@
 };
 
 // Guards against nodes that do not find each other from the seeds, and against dead nodes that
+// Guards against nodes that never learn of each other once both have told their places to others.
+TEST_F(MembershipTest, AnswerOfASeedWithoutItsPlaceIsEnoughToKnowIt)
+{
+    addNode("a1", "a");
+    addNode("b1", "b");
+    GossipMessage answer;
+    answer.m_type = GossipType::Ack;
+    answer.m_sender = "b1";
+    answer.m_incarnation = 1;
+    MembershipActions actions;
+    handleGossip(m_nodes["a1"].m_core, m_now, "b1", 1, answer, actions);
+    const Member &member = m_nodes["a1"].m_core.m_members.at("b1");
+    EXPECT_EQ(member.m_update.m_state, MemberState::Alive);
+    EXPECT_EQ(member.m_update.m_dataCentre, "b");
+    EXPECT_EQ(member.m_update.m_peerPort, 1);
+}
+
 // stay in use.
 TEST_F(MembershipTest, NodesFindEachOtherAndDetectALoss)
 {
--- a/tools/arbutusgrade-stress/scenario.cpp
+++ b/tools/arbutusgrade-stress/scenario.cpp
@@ -6,7 +6,8 @@
 
 std::span<const Scenario> allScenarios()
 {
-    static const std::array<Scenario, 2> scenarios{requestScenario, configurationScenario};
+    static const std::array<Scenario, 3> scenarios{requestScenario, configurationScenario,
+                                                   membershipScenario};
     return scenarios;
 }
 
--- a/tools/arbutusgrade-stress/scenario.h
+++ b/tools/arbutusgrade-stress/scenario.h
@@ -60,4 +60,7 @@
 //! @brief Configuration between several nodes and a store with faults.
 extern const Scenario configurationScenario;
 
+//! @brief Membership and shared target state between nodes over a lossy network.
+extern const Scenario membershipScenario;
+
 } // namespace arbutusgrade::stress
