Give the span of a request another id than that of its first attempt

Cause: both were derived from the same number where the request key equals the attempt id, so the first attempt was its own parent in the span log. Ruled out: a collision of the hash; the inputs were equal. Change: the request's number has a bit that attempts never have. Structured bindings in three loops became named types, as the house style asks. Before: spanId equal to parentSpanId in the log.

--- a/libs/cluster/src/administrationservice.cpp
+++ b/libs/cluster/src/administrationservice.cpp
@@ -124,8 +124,8 @@
 {
     const ConfigurationDocument &document = m_configuration.m_document;
     json::object overlays;
-    for (const auto &[site, text] : document.m_overlays) {
-        overlays[site] = text;
+    for (const std::pair<const std::string, std::string> &overlay : document.m_overlays) {
+        overlays[overlay.first] = overlay.second;
     }
     json::array history;
     for (const ConfigurationChange &change : document.m_changes) {
--- a/libs/cluster/src/clusterservice.cpp
+++ b/libs/cluster/src/clusterservice.cpp
@@ -236,8 +236,10 @@
         cut.emplace_back(dataCentre);
     }
     boost::json::array alarms;
-    for (const auto &[kind, detail] : m_configuration.m_alarms) {
-        alarms.push_back({{"alarm", configurationAlarmName(kind)}, {"detail", detail}});
+    for (const std::pair<const ConfigurationAlarmKind, std::string> &alarm :
+         m_configuration.m_alarms) {
+        alarms.push_back(
+            {{"alarm", configurationAlarmName(alarm.first)}, {"detail", alarm.second}});
     }
     boost::json::object cluster{{"members", std::move(states)},
                                 {"dataCentresNotHeard", std::move(cut)},
--- a/libs/configuration/src/document.cpp
+++ b/libs/configuration/src/document.cpp
@@ -174,8 +174,8 @@
 std::string formatConfigurationDocument(const ConfigurationDocument &document)
 {
     json::object overlays;
-    for (const auto &[site, text] : document.m_overlays) {
-        overlays[site] = text;
+    for (const std::pair<const std::string, std::string> &overlay : document.m_overlays) {
+        overlays[overlay.first] = overlay.second;
     }
     json::array changes;
     for (const ConfigurationChange &change : document.m_changes) {
--- a/libs/query/src/details/jobs.h
+++ b/libs/query/src/details/jobs.h
@@ -174,6 +174,9 @@
 
 // spans.cpp
 
+//! Keeps the span of a request apart from that of an attempt with the same number.
+inline constexpr std::uint64_t requestSpanBit = std::uint64_t{1} << 62U;
+
 std::uint64_t spanId(const QueryEngine &engine, std::uint64_t number) noexcept;
 void recordAttemptSpan(QueryEngine &engine, const Event &event, const Attempt &attempt,
                        std::string_view status);
--- a/libs/query/src/submit.cpp
+++ b/libs/query/src/submit.cpp
@@ -64,7 +64,7 @@
     request.m_deadline = event.m_now + std::min(caller.m_timeout.value_or(limit), limit);
     request.m_fingerprint =
         payloadFingerprint(engine.m_table.m_groups[kind.m_group].m_name, caller);
-    request.m_span = spanId(engine, request.m_key);
+    request.m_span = spanId(engine, request.m_key ^ requestSpanBit);
 }
 
 void refuseRequest(QueryEngine &engine, const Event &event, Request &request, Reason reason)
--- a/libs/query/tests/fanouttest.cpp
+++ b/libs/query/tests/fanouttest.cpp
@@ -170,6 +170,48 @@
     EXPECT_EQ(harness.answer(caller)->m_included.size(), 9U);
 }
 
+// Guards against a trace in which the first attempt is its own parent.
+TEST(FanOut, SpansOfTheRequestAndItsFirstAttemptDiffer)
+{
+    Harness harness(makeSettings(1, 1));
+    harness.holdEverywhere({{1, 7}});
+    CallerRequest request;
+    request.m_caller = 77;
+    request.m_requestId = "traced";
+    request.m_kind = "all";
+    request.m_payload = std::make_shared<const std::string>("{}");
+    request.m_trace = TraceContext{1, 2, 3, true};
+    ActionList actions;
+    submitRequest(*harness.m_engine, harness.m_now, request, actions);
+    const SendAttempt *sent = nullptr;
+    for (const Action &action : actions) {
+        sent =
+            std::get_if<SendAttempt>(&action) != nullptr ? std::get_if<SendAttempt>(&action) : sent;
+    }
+    ASSERT_NE(sent, nullptr);
+    const AttemptId attempt = sent->m_attempt;
+    const std::uint64_t attemptSpan = sent->m_trace.m_parentSpan;
+    AttemptReply reply;
+    reply.m_attempt = attempt;
+    reply.m_requestId = "traced";
+    reply.m_service = sent->m_service;
+    reply.m_status = AttemptStatus::Ok;
+    reply.m_snapshot = *sent->m_snapshot;
+    reply.m_entries = "[]";
+    const std::string target = sent->m_target;
+    ActionList answers;
+    handleAttemptReply(*harness.m_engine, harness.m_now, target, reply, answers);
+    std::size_t requestSpans = 0;
+    for (const Action &action : answers) {
+        const RecordSpan *span = std::get_if<RecordSpan>(&action);
+        if (span != nullptr && span->m_name == "request") {
+            ++requestSpans;
+            EXPECT_NE(span->m_span, attemptSpan);
+        }
+    }
+    EXPECT_EQ(requestSpans, 1U);
+}
+
 // Guards against a straggler that decides the latency, and against a loser that goes on working.
 TEST(FanOut, SlowAttemptIsHedgedAndTheLoserCancelled)
 {
