Count losses that a killed node could not learn of in the quarantine check

Cause: stress: node-2 was killed 1 ms after it had sent the first two attempts of a crashing request; both crashed their targets after its death. Ruled out: a missed notice; no process was left to send one. Change: the check allows the losses whose sender was already gone. Conclusion: two targets are the bound where the node that sent lives to tell.

--- a/tools/arbutusgrade-stress/requestchecks.cpp
+++ b/tools/arbutusgrade-stress/requestchecks.cpp
@@ -89,8 +89,12 @@
     truth.m_concurrentLosses += concurrent || truth.m_concurrentLosses > 0 ? 1 : 0;
     truth.m_lastLoss = m_queue.now();
     truth.m_lastLossNode = work.m_node;
-    const std::size_t bound = static_cast<std::size_t>(
-        quarantineBound + kills + std::min(truth.m_concurrentLosses, quarantineBound));
+    // A node that was killed while its attempt travelled learns of no loss (seed 20261867).
+    const bool orphaned = m_nodes[work.m_node].m_incarnation != work.m_nodeIncarnation;
+    truth.m_orphanedLosses += orphaned ? 1 : 0;
+    const std::size_t bound =
+        static_cast<std::size_t>(quarantineBound + kills + truth.m_orphanedLosses
+                                 + std::min(truth.m_concurrentLosses, quarantineBound));
     check(truth.m_lostTargets.size() <= bound, "quarantine-bound",
           std::to_string(truth.m_lostTargets.size()) + " targets lost to one request",
           work.m_send.m_requestId);
--- a/tools/arbutusgrade-stress/requestworld.h
+++ b/tools/arbutusgrade-stress/requestworld.h
@@ -50,6 +50,7 @@
     TimePoint m_lastLoss;
     std::size_t m_lastLossNode = 0;
     int m_concurrentLosses = 0; //!< From the first loss that a notice could not prevent on.
+    int m_orphanedLosses = 0;   //!< By attempts of a node that was killed before.
 };
 
 //! @brief One send of a caller, waiting for its answer.
