--- a/cmake/Arbutusgrade.cmake
+++ b/cmake/Arbutusgrade.cmake
@@ -35,3 +35,11 @@
     add_test(NAME ${name} COMMAND ${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
+
+# arbutusgrade_add_tests(DIRECTORY)
+# Adds a directory of tests or benchmarks, unless the build is made without them.
+macro(arbutusgrade_add_tests directory)
+    if(BUILD_TESTING)
+        add_subdirectory(${directory})
+    endif()
+endmacro()
--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/outcome/result.hpp>
@@ -39,6 +40,18 @@
     std::strong_ordering operator<=>(const Snapshot &other) const noexcept = default;
 };
 
+//! @brief Header fields of an HTTP message, in order.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+//! @brief How an attempt to forward a request to a target ended.
+enum class ForwardEnd {
+    Reply,
+    ConnectFailed, //!< No connection; no byte was sent.
+    Closed,        //!< The target closed the connection, or broke off its reply.
+    Reset,         //!< The connection was reset or timed out after bytes had been sent.
+    Malformed,     //!< What came is no HTTP/1.1 response, or larger than allowed.
+};
+
 //! @brief Deterministic generator of pseudo-random numbers (SplitMix64). Not for secrets.
 //!
 //! The same seed gives the same sequence on every platform, which std:: distributions do not
--- /dev/null
+++ b/libs/forwarding/src/quarantine.cpp
@@ -0,0 +1,41 @@
+#include <algorithm>
+
+#include "forwarding/forwarding.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+CrashTable::Entry &liveEntry(CrashTable &table, TimePoint now, std::uint64_t fingerprint)
+{
+    std::erase_if(table.m_entries,
+                  [now](const std::pair<const std::uint64_t, CrashTable::Entry> &entry) {
+                      return now >= entry.second.m_expires;
+                  });
+    CrashTable::Entry &entry = table.m_entries[fingerprint];
+    entry.m_expires = now + CrashTable::memory;
+    return entry;
+}
+
+} // namespace
+
+int countCrash(CrashTable &table, TimePoint now, std::uint64_t fingerprint)
+{
+    return ++liveEntry(table, now, fingerprint).m_crashes;
+}
+
+void learnCrashes(CrashTable &table, TimePoint now, std::uint64_t fingerprint, int crashes)
+{
+    CrashTable::Entry &entry = liveEntry(table, now, fingerprint);
+    entry.m_crashes = std::max(entry.m_crashes, crashes);
+}
+
+bool isQuarantined(const CrashTable &table, TimePoint now, std::uint64_t fingerprint)
+{
+    const std::unordered_map<std::uint64_t, CrashTable::Entry>::const_iterator found =
+        table.m_entries.find(fingerprint);
+    return found != table.m_entries.end() && now < found->second.m_expires
+           && found->second.m_crashes >= CrashTable::crashLimit;
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/forwarding/src/registry.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+
+#include "forwarding/forwarding.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+void unlink(TargetRegistry &registry, const TargetPointer &target)
+{
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::iterator found =
+        registry.m_byService.find(target->m_entry.m_service);
+    if (found != registry.m_byService.end()) {
+        std::erase(found->second, target);
+    }
+}
+
+TargetPointer addTarget(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
+{
+    const TargetPointer target = std::make_shared<Target>();
+    target->m_entry = entry;
+    target->m_warmUntil = now + entry.m_warmupLeft;
+    registry.m_targets[entry.m_id] = target;
+    registry.m_byService[entry.m_service].push_back(target);
+    return target;
+}
+
+bool sameProcess(const TargetEntry &left, const TargetEntry &right)
+{
+    return left.m_started == right.m_started && left.m_service == right.m_service
+           && left.m_address == right.m_address && left.m_port == right.m_port;
+}
+
+} // namespace
+
+EntryChange applyEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
+{
+    const std::unordered_map<std::string, TargetPointer>::iterator found =
+        registry.m_targets.find(entry.m_id);
+    if (found == registry.m_targets.end()) {
+        addTarget(registry, now, entry);
+        return EntryChange::Added;
+    }
+    const TargetPointer target = found->second;
+    if (entry.m_started < target->m_entry.m_started) {
+        return EntryChange::Stale;
+    }
+    if (!sameProcess(entry, target->m_entry)) {
+        // What was learned of the earlier process says nothing about this one.
+        target->m_removed = true;
+        target->m_usableUntil = now;
+        unlink(registry, target);
+        addTarget(registry, now, entry);
+        return EntryChange::Restarted;
+    }
+    const bool startsDraining = entry.m_draining && !target->m_entry.m_draining;
+    target->m_entry = entry;
+    target->m_warmUntil = now + entry.m_warmupLeft;
+    target->m_removed = false;
+    return startsDraining ? EntryChange::Draining : EntryChange::Changed;
+}
+
+bool removeEntry(TargetRegistry &registry, TimePoint now, std::string_view id)
+{
+    const std::unordered_map<std::string, TargetPointer>::iterator found =
+        registry.m_targets.find(std::string(id));
+    if (found == registry.m_targets.end() || found->second->m_removed) {
+        return false;
+    }
+    Target &target = *found->second;
+    if (target.m_entry.m_draining) {
+        target.m_usableUntil = now;
+    } else if (registry.m_storeAway) {
+        target.m_usableUntil = farFuture;
+    } else {
+        target.m_usableUntil = std::max(now + TargetRegistry::removalGrace, registry.m_graceUntil);
+    }
+    target.m_removed = true;
+    return true;
+}
+
+std::vector<std::string> removeMissing(TargetRegistry &registry, TimePoint now,
+                                       std::span<const std::string> present)
+{
+    std::vector<std::string> removed;
+    for (const std::pair<const std::string, TargetPointer> &target : registry.m_targets) {
+        if (std::find(present.begin(), present.end(), target.first) == present.end()) {
+            removed.push_back(target.first);
+        }
+    }
+    std::erase_if(removed, [&](const std::string &id) { return !removeEntry(registry, now, id); });
+    return removed;
+}
+
+void noteStoreAway(TargetRegistry &registry)
+{
+    registry.m_storeAway = true;
+}
+
+void noteStoreBack(TargetRegistry &registry, TimePoint now)
+{
+    if (!registry.m_storeAway) {
+        return;
+    }
+    registry.m_storeAway = false;
+    registry.m_graceUntil = now + TargetRegistry::returnGrace;
+    for (const std::pair<const std::string, TargetPointer> &target : registry.m_targets) {
+        if (target.second->m_removed && target.second->m_usableUntil == farFuture) {
+            target.second->m_usableUntil = registry.m_graceUntil;
+        }
+    }
+}
+
+bool acceptsRequests(const Target &target, TimePoint now)
+{
+    return !target.m_entry.m_draining && (!target.m_removed || now < target.m_usableUntil);
+}
+
+void forgetRemoved(TargetRegistry &registry, TimePoint now)
+{
+    std::vector<TargetPointer> gone;
+    for (const std::pair<const std::string, TargetPointer> &target : registry.m_targets) {
+        if (target.second->m_removed && now >= target.second->m_usableUntil) {
+            gone.push_back(target.second);
+        }
+    }
+    for (const TargetPointer &target : gone) {
+        unlink(registry, target);
+        registry.m_targets.erase(target->m_entry.m_id);
+    }
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/forwarding/src/routingtable.cpp
@@ -0,0 +1,37 @@
+#include "forwarding/forwarding.h"
+
+namespace arbutusgrade {
+
+const Route *findRoute(const RoutingTable &table, std::string_view host, std::string_view path)
+{
+    const Route *best = nullptr;
+    for (const Route &route : table.m_routes) {
+        const bool matches = route.m_host == host && path.starts_with(route.m_prefix);
+        if (matches && (best == nullptr || route.m_prefix.size() > best->m_prefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+std::size_t chooseSplit(std::span<const WeightedService> services, std::vector<double> &credits)
+{
+    if (credits.size() != services.size()) {
+        credits.assign(services.size(), 0.0);
+    }
+    double total = 0.0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < services.size(); ++index) {
+        credits[index] += services[index].m_weight;
+        total += services[index].m_weight;
+        if (credits[index] > credits[best]) {
+            best = index;
+        }
+    }
+    if (!credits.empty()) {
+        credits[best] -= total;
+    }
+    return best;
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -0,0 +1,230 @@
+#include "details/callerrequests.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include <boost/beast/core/string.hpp>
+
+namespace arbutusgrade {
+
+namespace {
+
+using boost::beast::iequals;
+
+// Headers that concern one connection only (RFC 9110, 7.6.1), and the framing, which is written
+// anew.
+constexpr std::array<std::string_view, 9> connectionHeaders{"connection",
+                                                            "keep-alive",
+                                                            "proxy-connection",
+                                                            "proxy-authenticate",
+                                                            "proxy-authorization",
+                                                            "te",
+                                                            "trailer",
+                                                            "transfer-encoding",
+                                                            "upgrade"};
+
+bool isListed(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        std::string_view item = list.substr(0, comma);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (iequals(item, name)) {
+            return true;
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+bool isHopByHop(std::string_view name, std::string_view connection)
+{
+    if (iequals(name, "content-length")
+        || std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
+                       [name](std::string_view header) { return iequals(name, header); })) {
+        return true;
+    }
+    return !connection.empty() && isListed(connection, name);
+}
+
+std::string_view findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    for (const std::pair<std::string, std::string> &header : headers) {
+        if (iequals(header.first, name)) {
+            return header.second;
+        }
+    }
+    return {};
+}
+
+std::string normalizedHost(std::string_view host)
+{
+    std::string normalized(
+        host.substr(0, host.rfind(':') == std::string_view::npos ? host.size() : host.rfind(':')));
+    std::transform(normalized.begin(), normalized.end(), normalized.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return normalized;
+}
+
+std::optional<Duration> parseMilliseconds(std::string_view text)
+{
+    std::int64_t milliseconds = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    constexpr std::int64_t longest = 24LL * 3600 * 1000;
+    if (parsed.ec != std::errc() || milliseconds < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::min(milliseconds, longest));
+}
+
+std::string formatSeconds(Duration duration)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  std::chrono::duration<double>(duration).count());
+    return text.data();
+}
+
+std::string joinReceipts(const std::vector<std::string> &receipts)
+{
+    std::string joined;
+    for (const std::string &receipt : receipts) {
+        if (!joined.empty()) {
+            joined += ", ";
+        }
+        joined += receipt;
+    }
+    return joined;
+}
+
+bool hasBody(const HttpRequest &request)
+{
+    return !request.m_body.empty() || !request.header("content-length").empty()
+           || !request.header("transfer-encoding").empty();
+}
+
+std::uint64_t fingerprintOf(const ForwardRequest &request, std::string_view target)
+{
+    std::string text = request.m_method + ' ' + request.m_host + std::string(target) + '\n';
+    text += request.m_body;
+    return stableHash(text);
+}
+
+} // namespace
+
+CheckedCallerRequest checkCallerRequest(const HttpRequest &request, const ForwardHeaders &headers)
+{
+    const std::shared_ptr<ForwardRequest> result = std::make_shared<ForwardRequest>();
+    if (request.m_target.empty() || request.m_target.front() != '/') {
+        return {nullptr, "the request target is not a path"};
+    }
+    const std::string_view connection = request.header("connection");
+    std::string head = request.m_method + ' ' + request.m_target + " HTTP/1.1\r\n";
+    int hosts = 0;
+    for (const std::pair<std::string, std::string> &header : request.m_headers) {
+        if (iequals(header.first, "host")) {
+            ++hosts;
+            result->m_host = normalizedHost(header.second);
+        } else if (iequals(header.first, headers.m_requestId)) {
+            if (!result->m_requestId.empty()) {
+                return {nullptr, "the request has several ids"};
+            }
+            result->m_requestId = header.second;
+        } else if (iequals(header.first, headers.m_timeLeft)) {
+            result->m_timeLeft = parseMilliseconds(header.second);
+            continue;
+        } else if (iequals(header.first, headers.m_expectedTarget)
+                   || iequals(header.first, "expect") || isHopByHop(header.first, connection)) {
+            continue;
+        }
+        head += header.first;
+        head += ": ";
+        head += header.second;
+        head += "\r\n";
+    }
+    if (hosts != 1 || result->m_host.empty()) {
+        return {nullptr, "the request needs one Host header"};
+    }
+    if (result->m_requestId.empty()) {
+        return {nullptr, "the request has no id"};
+    }
+    if (hasBody(request)) {
+        head += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
+    }
+    result->m_caller = request.m_exchange;
+    result->m_method = request.m_method;
+    result->m_path = request.m_path;
+    result->m_head = std::move(head);
+    result->m_body = request.m_body;
+    result->m_fingerprint = fingerprintOf(*result, request.m_target);
+    return {result, {}};
+}
+
+void writeAttempt(std::string &text, const ForwardOrder &order, const ForwardHeaders &headers)
+{
+    const std::int64_t milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(order.m_timeLeft).count();
+    text.clear();
+    text += order.m_request->m_head;
+    text += headers.m_timeLeft;
+    text += ": ";
+    text += std::to_string(std::max<std::int64_t>(1, milliseconds));
+    text += "\r\n";
+    text += headers.m_expectedTarget;
+    text += ": ";
+    text += order.m_target->m_entry.m_id;
+    text += "\r\n\r\n";
+    text += order.m_request->m_body;
+}
+
+TargetReply readTargetReply(const ReplyContent &content, const ForwardHeaders &headers)
+{
+    TargetReply reply;
+    reply.m_status = content.m_status;
+    reply.m_body = content.m_body;
+    const std::string_view connection = findHeader(content.m_headers, "connection");
+    for (const std::pair<std::string, std::string> &header : content.m_headers) {
+        if (iequals(header.first, headers.m_receipt)) {
+            reply.m_receipt = header.second;
+        } else if (iequals(header.first, headers.m_requestId)) {
+            reply.m_echoedId = header.second;
+        } else if (iequals(header.first, headers.m_notExecuted)) {
+            reply.m_notExecuted = true;
+        }
+        if (!isHopByHop(header.first, connection)) {
+            reply.m_headers.push_back(header);
+        }
+    }
+    return reply;
+}
+
+HttpResponse callerResponse(const ForwardAnswer &answer, const ForwardHeaders &headers)
+{
+    HttpResponse response;
+    response.m_status = answer.m_status;
+    if (answer.m_kind == AnswerKind::Relayed) {
+        response.m_contentType.clear();
+        response.m_headers = answer.m_reply.m_headers;
+        response.m_body = answer.m_reply.m_body;
+        return response;
+    }
+    if (answer.m_kind == AnswerKind::Merged) {
+        response.m_contentType = "application/octet-stream";
+        response.m_headers.emplace_back(headers.m_shardReceipts, joinReceipts(answer.m_receipts));
+        response.m_headers.emplace_back(headers.m_missingShards,
+                                        std::to_string(answer.m_missingShards));
+        response.m_body = answer.m_records;
+        return response;
+    }
+    response.m_body = R"({"error":")" + std::string(answer.m_reason) + "\"}";
+    if (answer.m_retryAfter) {
+        response.m_headers.emplace_back("Retry-After", formatSeconds(*answer.m_retryAfter));
+    }
+    return response;
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -0,0 +1,54 @@
+#include <array>
+
+#include "details/nodeimplementation.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> answerNames{
+    "relayed", "merged", "no-route", "refused", "failed", "timed-out", "quarantined"};
+
+} // namespace
+
+MetricFamilies GatewayNode::Implementation::metrics() const
+{
+    const ForwardStatistics &engine = m_engine.statistics();
+    const ForwardClientStatistics &client = m_client.statistics();
+    MetricFamilies families;
+    const auto counter = [&families](std::string_view name, std::string_view help,
+                                     std::uint64_t value) {
+        addCounter(families, name, help, static_cast<double>(value));
+    };
+    counter("arbutusgrade_requests_total", "Requests of callers", engine.m_requests);
+    for (std::size_t kind = 0; kind < answerNames.size(); ++kind) {
+        addCounter(families, "arbutusgrade_answers_total", "Answers by kind",
+                   static_cast<double>(engine.m_answers[kind]), {{"kind", answerNames[kind]}});
+    }
+    counter("arbutusgrade_partial_answers_total", "Searches with shards missing", engine.m_partial);
+    counter("arbutusgrade_attempts_total", "Requests sent to targets", engine.m_attempts);
+    counter("arbutusgrade_hedges_total", "Second attempts as the first was late", engine.m_hedges);
+    counter("arbutusgrade_retries_total", "Attempts after a failed one", engine.m_retries);
+    counter("arbutusgrade_budget_denied_total", "Extra attempts beyond the budget",
+            engine.m_budgetDenied);
+    counter("arbutusgrade_foreign_replies_total", "Replies that belong to another request",
+            engine.m_mismatches);
+    counter("arbutusgrade_callers_gone_total", "Callers that left before their answer",
+            engine.m_callersGone);
+    counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
+    counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
+            client.m_connectFailures);
+    counter("arbutusgrade_log_lines_dropped_total", "Decisions beyond the bound of the log",
+            m_decisions.dropped());
+    addGauge(families, "arbutusgrade_requests_in_flight", "Requests without an answer",
+             static_cast<double>(engine.m_inFlight));
+    addGauge(families, "arbutusgrade_target_connections", "Open connections to targets",
+             static_cast<double>(client.m_connections));
+    addGauge(families, "arbutusgrade_configuration_version", "Version in force",
+             m_engine.routing() ? static_cast<double>(m_engine.routing()->m_version) : 0.0);
+    addGauge(families, "arbutusgrade_ready", "1 if the node takes requests", isReady() ? 1.0 : 0.0);
+    m_latency.collect(families);
+    return families;
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/gatewaynode/src/storefollower.cpp
@@ -0,0 +1,132 @@
+#include "details/storefollower.h"
+
+#include <algorithm>
+
+namespace arbutusgrade {
+
+namespace {
+
+// A watch whose connection has gone silent is noticed at the end of its wait, which has to lie
+// within the time in which a change of configuration must be in force.
+constexpr std::chrono::milliseconds watchWait{2'500};
+
+constexpr std::chrono::milliseconds firstRetryDelay{100};
+constexpr std::chrono::milliseconds longestRetryDelay{800};
+
+} // namespace
+
+StoreFollower::StoreFollower(boost::asio::io_context &context, MetadataStore &store,
+                             std::string prefix, Handlers handlers)
+    : m_store(store), m_prefix(std::move(prefix)), m_handlers(std::move(handlers)), m_timer(context)
+{
+    m_random.m_state =
+        stableHash(m_prefix) ^ static_cast<std::uint64_t>(bootTimeNow().time_since_epoch().count());
+}
+
+void StoreFollower::start()
+{
+    restart();
+}
+
+void StoreFollower::restart()
+{
+    m_timer.cancel();
+    m_items.clear();
+    readPage(++m_round, "");
+}
+
+void StoreFollower::stop()
+{
+    ++m_round;
+    m_timer.cancel();
+}
+
+void StoreFollower::readPage(std::uint64_t round, const std::string &after)
+{
+    m_store.list(m_prefix, after, [weak = weak_from_this(), round](const MetadataPage &page) {
+        const std::shared_ptr<StoreFollower> self = weak.lock();
+        if (self && self->m_round == round) {
+            self->takePage(round, page);
+        }
+    });
+}
+
+void StoreFollower::takePage(std::uint64_t round, const MetadataPage &page)
+{
+    if (page.m_status != MetadataStatus::Ok) {
+        m_items.clear();
+        retryLater(round, true);
+        return;
+    }
+    m_failures = 0;
+    if (m_items.empty()) {
+        m_firstRevision = page.m_storeRevision;
+    }
+    m_items.insert(m_items.end(), page.m_items.begin(), page.m_items.end());
+    if (page.m_more && !page.m_items.empty()) {
+        readPage(round, page.m_items.back().m_key);
+        return;
+    }
+    m_revision = m_firstRevision;
+    const std::vector<MetadataItem> items = std::move(m_items);
+    m_items.clear();
+    m_handlers.m_availability(true);
+    m_handlers.m_snapshot(items);
+    watch(round);
+}
+
+void StoreFollower::watch(std::uint64_t round)
+{
+    m_store.watch(m_prefix, m_revision, watchWait,
+                  [weak = weak_from_this(), round](const MetadataChanges &changes) {
+                      const std::shared_ptr<StoreFollower> self = weak.lock();
+                      if (self && self->m_round == round) {
+                          self->takeChanges(round, changes);
+                      }
+                  });
+}
+
+void StoreFollower::takeChanges(std::uint64_t round, const MetadataChanges &changes)
+{
+    if (changes.m_status == MetadataStatus::HistoryGone) {
+        restart();
+        return;
+    }
+    if (changes.m_status != MetadataStatus::Ok) {
+        retryLater(round, false);
+        return;
+    }
+    m_failures = 0;
+    m_revision = std::max(m_revision, changes.m_storeRevision);
+    m_handlers.m_availability(true);
+    if (!changes.m_events.empty()) {
+        m_handlers.m_changes(changes.m_events);
+    }
+    watch(round);
+}
+
+void StoreFollower::retryLater(std::uint64_t round, bool readAll)
+{
+    m_handlers.m_availability(false);
+    const int doublings = std::min(m_failures, 3);
+    ++m_failures;
+    const std::chrono::milliseconds delay =
+        std::min(longestRetryDelay, firstRetryDelay * (1 << doublings));
+    // Jitter keeps the nodes from asking all at once when the store returns.
+    const std::chrono::milliseconds jitter(
+        nextRandomBelow(m_random, static_cast<std::uint64_t>(delay.count() / 2) + 1));
+    m_timer.expires_after(delay + jitter);
+    m_timer.async_wait([weak = weak_from_this(), round, readAll](boost::system::error_code error) {
+        const std::shared_ptr<StoreFollower> self = weak.lock();
+        if (error || !self || self->m_round != round) {
+            return;
+        }
+        if (readAll) {
+            self->readPage(round, "");
+        } else {
+            self->watch(round);
+        }
+    });
+}
+
+} // namespace arbutusgrade
--- /dev/null
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -0,0 +1,176 @@
+#include "details/storesync.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+// Unreadable entries are remembered so that each is logged once; more than this many are not.
+constexpr std::size_t rememberedUnreadable = 1000;
+
+} // namespace
+
+StoreSync::StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
+                     MetadataStore &store, ForwardEngine &engine, Log &log)
+    : m_format(format), m_store(store), m_engine(engine), m_log(log)
+{
+    m_configuration = followConfiguration(context);
+    m_registry = followRegistry(context);
+}
+
+void StoreSync::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    m_configuration->start();
+    m_registry->start();
+}
+
+void StoreSync::stop()
+{
+    m_configuration->stop();
+    m_registry->stop();
+}
+
+void StoreSync::restart()
+{
+    m_configuration->restart();
+    m_registry->restart();
+}
+
+std::shared_ptr<StoreFollower> StoreSync::followConfiguration(boost::asio::io_context &context)
+{
+    StoreFollower::Handlers handlers;
+    handlers.m_availability = [](bool /*available*/) {};
+    handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) {
+        for (const MetadataItem &item : items) {
+            takeConfiguration(item);
+        }
+        m_changed();
+    };
+    handlers.m_changes = [this](const std::vector<MetadataEvent> &events) {
+        for (const MetadataEvent &event : events) {
+            if (!event.m_removed) {
+                takeConfiguration(event.m_item);
+            }
+        }
+        m_changed();
+    };
+    return std::make_shared<StoreFollower>(context, m_store, m_format.m_configurationKey,
+                                           std::move(handlers));
+}
+
+std::shared_ptr<StoreFollower> StoreSync::followRegistry(boost::asio::io_context &context)
+{
+    StoreFollower::Handlers handlers;
+    handlers.m_availability = [this](bool available) { noteAvailability(available); };
+    handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) { takeRegistry(items); };
+    handlers.m_changes = [this](const std::vector<MetadataEvent> &events) {
+        for (const MetadataEvent &event : events) {
+            if (event.m_removed) {
+                dropTarget(event.m_item.m_key, "removed");
+            } else {
+                takeTarget(event.m_item);
+            }
+        }
+        m_changed();
+    };
+    return std::make_shared<StoreFollower>(context, m_store, m_format.m_targetPrefix,
+                                           std::move(handlers));
+}
+
+void StoreSync::takeConfiguration(const MetadataItem &item)
+{
+    if (item.m_key != m_format.m_configurationKey) {
+        return;
+    }
+    Checked<RoutingTable> table = m_format.m_decodeRouting(item.m_value);
+    if (!table) {
+        logFindings("configuration-unreadable", item.m_key, table.error());
+        return;
+    }
+    const std::uint64_t version = table.value().m_version;
+    const bool adopted =
+        m_engine.adoptRouting(std::make_shared<const RoutingTable>(std::move(table.value())));
+    m_configurationRead = true;
+    m_log.write(LogLevel::Info, adopted ? "configuration-adopted" : "configuration-ignored",
+                adopted ? "" : "the version is not above the one in force",
+                {{"version", version}, {"revision", item.m_revision}});
+}
+
+void StoreSync::takeTarget(const MetadataItem &item)
+{
+    const std::string_view id = std::string_view(item.m_key).substr(m_format.m_targetPrefix.size());
+    const Checked<TargetEntry> entry = m_format.m_decodeTarget(id, item.m_value);
+    if (!entry) {
+        const std::uint64_t hash = stableHash(item.m_value);
+        if (m_unreadable.size() < rememberedUnreadable && m_unreadable[item.m_key] != hash) {
+            m_unreadable[item.m_key] = hash;
+            logFindings("target-entry-unreadable", item.m_key, entry.error());
+        }
+        dropTarget(item.m_key, "unreadable");
+        return;
+    }
+    const EntryChange change = applyEntry(m_engine.registry(), bootTimeNow(), entry.value());
+    if (change == EntryChange::Changed || change == EntryChange::None) {
+        return;
+    }
+    std::string_view event = "target-added";
+    if (change == EntryChange::Restarted) {
+        event = "target-restarted";
+    } else if (change == EntryChange::Draining) {
+        event = "target-draining";
+    } else if (change == EntryChange::Stale) {
+        event = "target-entry-stale";
+    }
+    m_log.write(LogLevel::Info, event, "",
+                {{"target", id},
+                 {"service", entry.value().m_service},
+                 {"dataCentre", entry.value().m_dataCentre},
+                 {"revision", item.m_revision}});
+}
+
+void StoreSync::dropTarget(std::string_view key, std::string_view reason)
+{
+    const std::string_view id = key.substr(std::min(key.size(), m_format.m_targetPrefix.size()));
+    if (removeEntry(m_engine.registry(), bootTimeNow(), id)) {
+        m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", reason}});
+    }
+}
+
+void StoreSync::takeRegistry(const std::vector<MetadataItem> &items)
+{
+    std::vector<std::string> present;
+    for (const MetadataItem &item : items) {
+        takeTarget(item);
+        present.push_back(item.m_key.substr(m_format.m_targetPrefix.size()));
+    }
+    for (const std::string &id : removeMissing(m_engine.registry(), bootTimeNow(), present)) {
+        m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", "missing"}});
+    }
+    m_registryRead = true;
+    m_changed();
+}
+
+void StoreSync::noteAvailability(bool available)
+{
+    if (available == m_available) {
+        return;
+    }
+    m_available = available;
+    if (available) {
+        noteStoreBack(m_engine.registry(), bootTimeNow());
+        m_log.write(LogLevel::Info, "store-back", "the registry is read again");
+    } else {
+        noteStoreAway(m_engine.registry());
+        m_log.write(LogLevel::Warning, "store-away", "targets known so far stay in use");
+    }
+}
+
+void StoreSync::logFindings(std::string_view event, std::string_view key,
+                            const std::vector<Finding> &findings)
+{
+    m_log.write(LogLevel::Warning, event,
+                findings.empty() ? std::string_view() : findings.front().m_message,
+                {{"key", key}, {"findings", findings.size()}});
+}
+
+} // namespace arbutusgrade
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -151,4 +151,34 @@
 //! @return the settings, or all findings of both files in order of place, the base first.
 Checked<Settings> parseSettings(const SettingsSource &base, const SettingsSource &overlay);
 
+//! @brief IP number and port.
+struct EndpointSettings
+{
+    std::string m_address;
+    std::uint16_t m_port = 0;
+};
+
+//! @brief Settings of a process that passes requests through to targets of a registry.
+//!
+//! They say where the process runs and what the deployment promises; routes and targets come from
+//! the store.
+struct GatewaySettings
+{
+    std::string m_node;
+    std::string m_dataCentre;
+    EndpointSettings m_callers;      //!< Where requests of callers arrive.
+    EndpointSettings m_readiness;    //!< Where the balancer asks whether this node is ready.
+    std::uint16_t m_metricsPort = 0; //!< On the address for callers; 0 for none.
+    EndpointSettings m_store;
+    std::chrono::milliseconds m_minimumLease{1000};
+    double m_extraArrivalRatio = 0.2;
+    double m_extraArrivalSlack = 0.0; //!< Over all nodes.
+    std::chrono::milliseconds m_extraArrivalWindow{10'000};
+    std::chrono::milliseconds m_shutdownGrace{6'000}; //!< From SIGTERM to SIGKILL.
+};
+
+//! @brief Parses the YAML settings of a gateway process.
+//! @return the settings, or all findings with their places.
+Checked<GatewaySettings> parseGatewaySettings(const SettingsSource &source);
+
 } // namespace arbutusgrade
--- a/libs/settings/src/ipaddress.cpp
+++ b/libs/settings/src/ipaddress.cpp
@@ -78,8 +78,12 @@
 std::string formatEndpoint(std::string_view address, std::uint16_t port)
 {
     const bool isVersionSix = address.find(':') != std::string_view::npos;
-    const std::string host = isVersionSix ? "[" + std::string(address) + "]" : std::string(address);
-    return host + ":" + std::to_string(port);
+    std::string text;
+    text += isVersionSix ? "[" : "";
+    text += address;
+    text += isVersionSix ? "]:" : ":";
+    text += std::to_string(port);
+    return text;
 }
 
 } // namespace arbutusgrade::details
--- a/libs/telemetry/include/telemetry/telemetry.h
+++ b/libs/telemetry/include/telemetry/telemetry.h
@@ -24,11 +24,17 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
+enum class LogOutput {
+    File,                  //!< The file that the options name, or standard error.
+    BoundedStandardOutput, //!< Standard output, only while it takes lines without blocking.
+};
+
 struct LogOptions
 {
     std::string m_node;
     std::string m_file; //!< Empty for standard error.
     LogLevel m_level = LogLevel::Info;
+    LogOutput m_output = LogOutput::File;
 };
 
 //! @brief Log of one JSON object a line, always with the fields time, level, node, event, message
@@ -46,6 +52,9 @@
     void write(LogLevel level, std::string_view event, std::string_view message,
                const boost::json::object &fields = {});
 
+    //! @brief Writes lines that are held back, as far as the output takes them.
+    void flush();
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -3,7 +3,9 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "details/boundedappender.h"
 #include <boost/json/serialize.hpp>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/hierarchy.h>
@@ -62,14 +64,20 @@
     return text;
 }
 
+constexpr int standardOutput = 1;
+
 // log4cplus cannot be initialised again after its end, so it lives as long as the process.
 void initializeLibrary()
 {
     static const log4cplus::Initializer initializer;
 }
 
-log4cplus::SharedAppenderPtr openAppender(const std::string &file)
+log4cplus::SharedAppenderPtr openAppender(const LogOptions &options)
 {
+    const std::string &file = options.m_file;
+    if (options.m_output == LogOutput::BoundedStandardOutput) {
+        return log4cplus::SharedAppenderPtr(new BoundedAppender(standardOutput));
+    }
     if (file.empty()) {
         return log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
     }
@@ -88,7 +96,8 @@
     explicit Implementation(const LogOptions &options) : m_node(options.m_node)
     {
         initializeLibrary();
-        log4cplus::SharedAppenderPtr appender = openAppender(options.m_file);
+        log4cplus::SharedAppenderPtr appender = openAppender(options);
+        m_bounded = dynamic_cast<BoundedAppender *>(appender.get());
         appender->setLayout(
             std::unique_ptr<log4cplus::Layout>(new log4cplus::PatternLayout("%m%n")));
         m_logger.setLogLevel(nativeLevel(options.m_level));
@@ -96,6 +105,7 @@
     }
 
     std::string m_node;
+    BoundedAppender *m_bounded = nullptr; //!< Owned by the logger; null for other outputs.
     log4cplus::Hierarchy m_hierarchy;
     log4cplus::Logger m_logger = m_hierarchy.getInstance("arbutusgrade");
 };
@@ -105,6 +115,13 @@
 
 Log::~Log() = default;
 
+void Log::flush()
+{
+    if (m_implementation->m_bounded != nullptr) {
+        m_implementation->m_bounded->flush();
+    }
+}
+
 void Log::write(LogLevel level, std::string_view event, std::string_view message,
                 const boost::json::object &fields)
 {
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,8 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/system/error_code.hpp>
 
 #include "query/query.h"
@@ -37,16 +40,16 @@
 
 // HTTP server ------------------------------------------------------------------------------------
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
 //! @brief A request whose headers and body have arrived completely.
 struct HttpRequest
 {
     std::string m_method;
-    std::string m_path;  //!< Without the query part, not percent-decoded.
-    std::string m_query; //!< After the question mark; empty if there is none.
+    std::string m_target; //!< As it came, with the query part.
+    std::string m_path;   //!< Without the query part, not percent-decoded.
+    std::string m_query;  //!< After the question mark; empty if there is none.
     HttpHeaders m_headers;
     std::string m_body;
+    std::uint64_t m_exchange = 0; //!< Names the exchange to the disconnect handler; never reused.
 
     //! @brief Value of a header, compared without regard to case; empty if it is absent.
     std::string_view header(std::string_view name) const;
@@ -56,7 +59,7 @@
 {
     int m_status = 200;
     std::string m_body;
-    std::string m_contentType = "application/json";
+    std::string m_contentType = "application/json"; //!< Empty for none of its own.
     HttpHeaders m_headers;
 };
 
@@ -73,6 +76,8 @@
     Duration m_writeTimeout{30'000'000};  //!< For a peer that does not read its response.
     Duration m_idleTimeout{75'000'000};   //!< Between requests of one connection.
     std::size_t m_connectionLimit = 4096; //!< Further connections are answered with 503.
+    //! Unacknowledged bytes end a connection after this time; zero leaves it to the system.
+    std::chrono::milliseconds m_peerTimeout{0};
 };
 
 struct HttpServerStatistics
@@ -97,6 +102,13 @@
     //! A prefix that does not end in '/' matches only whole path segments.
     void addRoute(std::string_view method, std::string_view pathPrefix, HttpHandler handler);
 
+    //! @brief Handles the requests that no route matches, with any method and path.
+    void setFallback(HttpHandler handler);
+
+    //! @brief Called with the exchange of a request that is being handled when its caller closes
+    //! the connection. Without a handler, callers that left are noticed only by the write.
+    void setDisconnectHandler(std::function<void(std::uint64_t exchange)> handler);
+
     //! @brief Starts accepting; port 0 picks a free one.
     boost::system::error_code listen(std::string_view address, std::uint16_t port);
 
@@ -106,6 +118,9 @@
     //! @brief Applies to requests that start later.
     void setBodyLimit(std::uint32_t bytes);
 
+    //! @brief Replaces limits and timeouts; applies to requests that start later.
+    void setOptions(const HttpServerOptions &options);
+
     //! @brief Makes responses close their connection from now on, so that callers move elsewhere.
     void announceClose();
 
@@ -122,6 +137,147 @@
     std::shared_ptr<Implementation> m_implementation;
 };
 
+// HTTP client ------------------------------------------------------------------------------------
+
+class ClientConnection;
+
+//! @brief A response as the clients read it.
+struct ReplyContent
+{
+    int m_status = 0;
+    std::string m_body;
+    HttpHeaders m_headers; //!< Only where the exchange asked for them.
+};
+
+//! @brief What is special about one exchange.
+struct ExchangeOptions
+{
+    bool m_keepHeaders = false;
+    bool m_expectNoBody = false; //!< The request is a HEAD, whose response has no body.
+};
+
+//! @brief HTTP/1.1 client for calls that are few: a small pool to one address, with a timeout for
+//! each call. Calls that find no free connection wait in order.
+class HttpClient : public std::enable_shared_from_this<HttpClient>
+{
+public:
+    struct Call
+    {
+        std::string m_method;
+        std::string m_path;
+        std::string m_body;
+        TimePoint m_deadline;
+        std::string m_contentType = "application/octet-stream";
+    };
+
+    //! @brief Takes the reply, or null if there was none in time.
+    using Handler = std::function<void(const ReplyContent *reply)>;
+
+    HttpClient(asio::io_context &context, HopStatistics &hop, int connections);
+
+    //! @brief Applies to connections opened later.
+    void setEndpoint(const std::string &address, std::uint16_t port);
+
+    //! @brief Ends connections whose peer has not acknowledged for this long.
+    void setPeerTimeout(std::chrono::milliseconds timeout);
+
+    void call(Call call, Handler handler);
+
+    //! @brief Ends the calls that are waiting or in flight without calling their handlers.
+    void stop();
+
+private:
+    struct Pending
+    {
+        Call m_call;
+        Handler m_handler;
+        std::shared_ptr<ClientConnection> m_connection; //!< Null while it waits.
+    };
+    using PendingPointer = std::shared_ptr<Pending>;
+
+    void pump();
+    void connect(const PendingPointer &pending);
+    void exchange(const PendingPointer &pending);
+    void finish(const PendingPointer &pending, const ReplyContent *reply);
+    void armTimer();
+    void expire();
+
+    asio::io_context &m_context;
+    HopStatistics &m_hop;
+    int m_limit;
+    std::string m_host;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::chrono::milliseconds m_peerTimeout{0};
+    asio::steady_timer m_timer;
+    std::vector<std::shared_ptr<ClientConnection>> m_idle;
+    std::vector<PendingPointer> m_active;
+    std::deque<PendingPointer> m_waiting;
+};
+
+// Client for forwarded requests ------------------------------------------------------------------
+
+using ForwardHandler = std::function<void(ForwardEnd end, const ReplyContent &reply)>;
+
+struct ForwardClientOptions
+{
+    Duration m_connectTimeout{400'000};
+    //! A connection idle for longer is not used again, unless the target states its own limit.
+    Duration m_idleLimit{8'000'000};
+    //! Requests that must not run twice use a kept connection only within this idle time, since a
+    //! target that has closed it leaves open whether it ran the request.
+    Duration m_freshIdleLimit{700'000};
+    std::chrono::milliseconds m_peerTimeout{1500};
+    std::uint32_t m_replyLimitBytes = 4 * 1024 * 1024;
+};
+
+struct ForwardClientStatistics
+{
+    HopStatistics m_hop;
+    std::uint64_t m_opened = 0;
+    std::uint64_t m_connectFailures = 0;
+    std::size_t m_connections = 0;
+};
+
+//! @brief One attempt to forward a request to a target.
+struct ForwardAttempt
+{
+    std::uint64_t m_attempt = 0; //!< Unique; never reused.
+    std::string m_target;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::string_view m_text; //!< Head and body; not used after the call.
+    bool m_idempotent = true;
+    bool m_expectNoBody = false;
+};
+
+//! @brief Connections to targets for requests that are passed through; one exchange at a time on
+//! each. How many there may be is decided by whoever sends attempts.
+class ForwardClient
+{
+public:
+    ForwardClient(asio::io_context &context, const ForwardClientOptions &options);
+    ~ForwardClient();
+    ForwardClient(const ForwardClient &) = delete;
+    ForwardClient &operator=(const ForwardClient &) = delete;
+
+    //! @brief Sends an attempt; the handler is called once, unless the attempt is abandoned.
+    void send(const ForwardAttempt &attempt, ForwardHandler handler);
+
+    //! @brief Closes the connection of an attempt in flight; its handler is not called.
+    void abandon(std::uint64_t attempt);
+
+    //! @brief Closes the idle connections to a target, for example since it left.
+    void dropTarget(std::string_view target);
+
+    //! @brief Closes the idle connections to all targets, for example after a suspension.
+    void dropIdle();
+
+    const ForwardClientStatistics &statistics() const;
+
+private:
+    struct Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
 // Client for targets -----------------------------------------------------------------------------
 
 //! @brief Address of a target and the connections that this node may have to it.
--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -1,5 +1,7 @@
 #include "details/clientconnection.h"
 
+#include "details/socketoptions.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -32,6 +34,7 @@
             if (!error) {
                 self->m_socket.set_option(Tcp::no_delay(true), error);
                 self->m_socket.non_blocking(true, error);
+                details::setPeerTimeout(self->m_socket, self->m_peerTimeout);
             }
             if (error) {
                 self->close();
@@ -49,7 +52,8 @@
     m_idleCloseHandler = std::move(handler);
 }
 
-void ClientConnection::exchange(std::string_view request, ExchangeHandler handler)
+void ClientConnection::exchange(std::string_view request, const ExchangeOptions &options,
+                                ExchangeHandler handler)
 {
     m_reusable = false;
     if (m_closed) {
@@ -65,10 +69,11 @@
         reportNotSent(std::move(handler));
         return;
     }
-    m_parser.emplace(m_content, m_replyLimit);
+    m_parser.emplace(m_content, m_replyLimit, options);
     m_handler = std::move(handler);
     ++m_hop.m_messages;
     if (written < request.size()) {
+        m_writing = true;
         writeRest(std::string(request.substr(written)));
     }
 }
@@ -79,6 +84,7 @@
     asio::async_write(m_socket, asio::buffer(*text),
                       [self = shared_from_this(), text](error_code error, std::size_t written) {
                           self->m_hop.m_bytesOut += written;
+                          self->m_writing = false;
                           // A failed write shows in the pending read as well, which ends the
                           // exchange; closing makes that certain.
                           if (error && !self->m_closed) {
@@ -135,7 +141,7 @@
         return;
     }
     if (error) {
-        handleEndOfStream();
+        handleEndOfStream(error);
         return;
     }
     parseBuffered();
@@ -154,17 +160,23 @@
         readMore();
         return;
     }
-    // Bytes after the reply would be taken for the reply of the next request.
-    m_reusable = m_parser->keep_alive() && m_buffer.size() == 0;
+    // Bytes after the reply would be taken for the reply of the next request, and the peer would
+    // take the next request for the rest of a body that is still being written.
+    m_reusable = m_parser->keep_alive() && m_buffer.size() == 0 && !m_writing;
     finish(ExchangeEnd::Reply);
 }
 
-void ClientConnection::handleEndOfStream()
+void ClientConnection::handleEndOfStream(error_code error)
 {
-    error_code error;
+    // A reply without a length is whole only at an orderly end; a reset may have cut it off.
+    if (error != asio::error::eof) {
+        finish(ExchangeEnd::Reset);
+        return;
+    }
     if (m_parser->got_some()) {
-        m_parser->put_eof(error);
-        if (!error && m_parser->is_done()) {
+        error_code parseError;
+        m_parser->put_eof(parseError);
+        if (!parseError && m_parser->is_done()) {
             finish(ExchangeEnd::Reply);
             return;
         }
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,7 +21,8 @@
 enum class ExchangeEnd {
     Reply,
     NotSent,   //!< No byte of the request was handed to the socket.
-    Lost,      //!< The connection ended after bytes had been handed over.
+    Lost,      //!< The peer closed the connection after bytes had been handed over.
+    Reset,     //!< The connection was reset or timed out after bytes had been handed over.
     Malformed, //!< The reply is no HTTP/1.1 response, or larger than allowed.
 };
 
@@ -40,8 +42,15 @@
     //! @brief Called when the peer closes the connection between exchanges.
     void setIdleCloseHandler(std::function<void()> handler);
 
+    //! @brief Ends the connection when bytes stay unacknowledged for this long; before connect.
+    void setPeerTimeout(std::chrono::milliseconds timeout)
+    {
+        m_peerTimeout = timeout;
+    }
+
     //! @brief Writes the request and waits for the reply. The text is not used after the call.
-    void exchange(std::string_view request, ExchangeHandler handler);
+    void exchange(std::string_view request, const ExchangeOptions &options,
+                  ExchangeHandler handler);
 
     //! @brief True if the peer has not closed the connection, as far as the socket tells.
     bool isOpen();
@@ -60,7 +69,7 @@
     void readMore();
     void handleRead(boost::system::error_code error, std::size_t bytes);
     void parseBuffered();
-    void handleEndOfStream();
+    void handleEndOfStream(boost::system::error_code error);
     void finish(ExchangeEnd end);
     void reportNotSent(ExchangeHandler handler);
 
@@ -72,6 +81,8 @@
     ReplyContent m_content;
     ExchangeHandler m_handler;
     std::function<void()> m_idleCloseHandler;
+    std::chrono::milliseconds m_peerTimeout{0};
+    bool m_writing = false; //!< Part of the request is still to be written.
     bool m_reusable = false;
     bool m_closed = false;
 };
--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,9 @@
     HttpServerOptions m_options;
     HttpServerStatistics m_statistics;
     std::vector<HttpRoute> m_routes; //!< Longest prefix first.
+    HttpHandler m_fallback;          //!< For requests that no route matches; may be empty.
+    std::function<void(std::uint64_t exchange)> m_disconnectHandler; //!< May be empty.
+    std::uint64_t m_lastExchange = 0;
     std::unordered_set<std::shared_ptr<HttpSession>> m_sessions;
     bool m_announceClose = false;
     bool m_stopping = false;
@@ -76,6 +80,8 @@
     void readBody();
     void handleBody(boost::system::error_code error);
     void dispatch();
+    void watchForDisconnect(std::uint64_t exchange);
+    void handleEarlyRead(std::uint64_t exchange);
     void rejectRead(boost::system::error_code error);
     void reject(int status, std::string_view message);
     void respond(std::uint64_t request, HttpResponse response);
--- a/libs/transport/src/details/replyparser.h
+++ b/libs/transport/src/details/replyparser.h
@@ -5,24 +5,22 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
-namespace arbutusgrade {
+#include "transport/transport.h"
 
-//! @brief The parts of a response that the clients use.
-struct ReplyContent
-{
-    int m_status = 0;
-    std::string m_body;
-};
+namespace arbutusgrade {
 
-//! @brief Response parser that keeps only status and body, so that a reply costs no allocation for
-//! header fields and the body buffer is reused.
+//! @brief Response parser that writes into buffers of the connection, which are reused. Header
+//! fields are kept only where they are wanted, so that other replies cost no allocation for them.
 class ReplyParser : public boost::beast::http::basic_parser<false>
 {
 public:
-    ReplyParser(ReplyContent &content, std::uint64_t bodyLimit) : m_content(content)
+    ReplyParser(ReplyContent &content, std::uint64_t bodyLimit, const ExchangeOptions &options)
+        : m_content(content), m_keepHeaders(options.m_keepHeaders)
     {
         m_content.m_status = 0;
         m_content.m_body.clear();
+        m_content.m_headers.clear();
+        skip(options.m_expectNoBody);
         eager(true);
         header_limit(headerLimitBytes);
         body_limit(bodyLimit);
@@ -42,9 +40,13 @@
     {
         m_content.m_status = status;
     }
-    void on_field_impl(boost::beast::http::field /*field*/, Text /*name*/, Text /*value*/,
+    void on_field_impl(boost::beast::http::field /*field*/, Text name, Text value,
                        Error & /*error*/) override
     {
+        if (m_keepHeaders) {
+            m_content.m_headers.emplace_back(std::string_view(name.data(), name.size()),
+                                             std::string_view(value.data(), value.size()));
+        }
     }
     void on_header_impl(Error & /*error*/) override { }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
@@ -68,6 +70,7 @@
     void on_finish_impl(Error & /*error*/) override { }
 
     ReplyContent &m_content;
+    bool m_keepHeaders;
 };
 
 } // namespace arbutusgrade
--- a/libs/transport/src/httpclient.cpp
+++ b/libs/transport/src/httpclient.cpp
@@ -1,4 +1,5 @@
-#include "details/httpclient.h"
+#include "details/clientconnection.h"
+#include "transport/transport.h"
 
 #include <algorithm>
 
@@ -15,8 +16,8 @@
 {
     std::string text = call.m_method + " " + call.m_path + " HTTP/1.1\r\nHost: " + host;
     if (call.m_method != "GET") {
-        text += "\r\nContent-Type: application/octet-stream\r\nContent-Length: "
-                + std::to_string(call.m_body.size());
+        text += "\r\nContent-Type: " + call.m_contentType
+                + "\r\nContent-Length: " + std::to_string(call.m_body.size());
     }
     return text + "\r\n\r\n" + call.m_body;
 }
@@ -43,6 +44,11 @@
     m_idle.clear();
 }
 
+void HttpClient::setPeerTimeout(std::chrono::milliseconds timeout)
+{
+    m_peerTimeout = timeout;
+}
+
 void HttpClient::call(Call call, Handler handler)
 {
     m_waiting.push_back(
@@ -88,6 +94,7 @@
 void HttpClient::connect(const PendingPointer &pending)
 {
     pending->m_connection = std::make_shared<ClientConnection>(m_context, m_hop, replyLimitBytes);
+    pending->m_connection->setPeerTimeout(m_peerTimeout);
     pending->m_connection->connect(m_endpoint, [weak = weak_from_this(), pending](bool connected) {
         const std::shared_ptr<HttpClient> self = weak.lock();
         if (!self) {
@@ -104,7 +111,7 @@
 void HttpClient::exchange(const PendingPointer &pending)
 {
     pending->m_connection->exchange(
-        requestText(m_host, pending->m_call),
+        requestText(m_host, pending->m_call), {},
         [weak = weak_from_this(), pending](ExchangeEnd end, const ReplyContent &reply) {
             if (const std::shared_ptr<HttpClient> self = weak.lock()) {
                 self->finish(pending, end == ExchangeEnd::Reply ? &reply : nullptr);
--- a/libs/transport/src/httpserver.cpp
+++ b/libs/transport/src/httpserver.cpp
@@ -134,6 +134,16 @@
                      });
 }
 
+void HttpServer::setFallback(HttpHandler handler)
+{
+    m_implementation->m_state->m_fallback = std::move(handler);
+}
+
+void HttpServer::setDisconnectHandler(std::function<void(std::uint64_t exchange)> handler)
+{
+    m_implementation->m_state->m_disconnectHandler = std::move(handler);
+}
+
 error_code HttpServer::listen(std::string_view address, std::uint16_t port)
 {
     error_code error;
@@ -173,6 +183,11 @@
     m_implementation->m_state->m_options.m_bodyLimitBytes = bytes;
 }
 
+void HttpServer::setOptions(const HttpServerOptions &options)
+{
+    m_implementation->m_state->m_options = options;
+}
+
 void HttpServer::announceClose()
 {
     m_implementation->m_state->m_announceClose = true;
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -1,5 +1,7 @@
 #include "details/httpsession.h"
 
+#include "details/socketoptions.h"
+
 #include <algorithm>
 
 #include <boost/asio/post.hpp>
@@ -56,6 +58,9 @@
 {
     error_code ignored;
     m_socket.set_option(Tcp::no_delay(true), ignored);
+    if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+        details::setPeerTimeout(m_socket, state->m_options.m_peerTimeout);
+    }
     waitForRequest();
 }
 
@@ -152,6 +157,9 @@
 
 void HttpSession::readBody()
 {
+    if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+        m_deadline = steadyNow() + state->m_options.m_readTimeout;
+    }
     http::async_read(m_socket, m_buffer, *m_parser,
                      [self = shared_from_this()](error_code error, std::size_t bytes) {
                          if (const std::shared_ptr<HttpServerState> server = self->m_state.lock()) {
@@ -185,6 +193,7 @@
     m_request = HttpRequest{};
     m_request.m_method = message.method_string();
     const std::string_view target(message.target().data(), message.target().size());
+    m_request.m_target = target;
     const std::size_t queryStart = std::min(target.find('?'), target.size());
     m_request.m_path = target.substr(0, queryStart);
     m_request.m_query = target.substr(std::min(queryStart + 1, target.size()));
@@ -193,6 +202,8 @@
     }
     m_request.m_body = std::move(message.body());
 
+    const std::uint64_t exchange = ++state->m_lastExchange;
+    m_request.m_exchange = exchange;
     const std::uint64_t number = ++m_requestNumber;
     const HttpResponder responder = [weak = weak_from_this(), number](HttpResponse response) {
         if (const std::shared_ptr<HttpSession> self = weak.lock()) {
@@ -202,6 +213,13 @@
     bool pathKnown = false;
     const HttpRoute *route =
         findRoute(state->m_routes, m_request.m_method, m_request.m_path, pathKnown);
+    if (route == nullptr && state->m_fallback) {
+        if (state->m_disconnectHandler) {
+            watchForDisconnect(exchange);
+        }
+        state->m_fallback(m_request, responder);
+        return;
+    }
     if (route == nullptr) {
         responder(HttpResponse{pathKnown ? 405 : 404,
                                errorBody(pathKnown ? "method not allowed" : "no such path"),
@@ -212,6 +230,36 @@
     route->m_handler(m_request, responder);
 }
 
+void HttpSession::watchForDisconnect(std::uint64_t exchange)
+{
+    m_socket.async_wait(Tcp::socket::wait_read,
+                        [self = shared_from_this(), exchange](error_code error) {
+                            if (!error) {
+                                self->handleEarlyRead(exchange);
+                            }
+                        });
+}
+
+void HttpSession::handleEarlyRead(std::uint64_t exchange)
+{
+    if (m_phase != Phase::Handling || m_request.m_exchange != exchange) {
+        return;
+    }
+    char byte = 0;
+    error_code error;
+    m_socket.non_blocking(true, error);
+    m_socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    if (!error || error == asio::error::would_block) {
+        // Data is the next request of a caller that does not wait for responses.
+        return;
+    }
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    close();
+    if (state && state->m_disconnectHandler) {
+        state->m_disconnectHandler(exchange);
+    }
+}
+
 void HttpSession::rejectRead(error_code error)
 {
     const bool protocolError =
@@ -255,9 +303,11 @@
     const std::shared_ptr<HttpServerState> state = m_state.lock();
     m_deadline = state ? steadyNow() + state->m_options.m_writeTimeout : farFuture;
     m_response.emplace(static_cast<http::status>(response.m_status), 11);
-    m_response->set(http::field::content_type, response.m_contentType);
+    if (!response.m_contentType.empty()) {
+        m_response->set(http::field::content_type, response.m_contentType);
+    }
     for (const std::pair<std::string, std::string> &header : response.m_headers) {
-        m_response->set(header.first, header.second);
+        m_response->insert(header.first, header.second);
     }
     m_response->keep_alive(keepAlive);
     m_response->body() = std::move(response.m_body);
--- /dev/null
+++ b/libs/transport/src/socketoptions.cpp
@@ -0,0 +1,38 @@
+#include "details/socketoptions.h"
+
+#include <algorithm>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace arbutusgrade::details {
+
+namespace {
+
+// A system that does not know an option leaves silent peers to the timeouts of the calls.
+void setOption(int socket, int level, int name, int value)
+{
+    static_cast<void>(::setsockopt(socket, level, name, &value, sizeof(value)));
+}
+
+} // namespace
+
+void setPeerTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    if (timeout.count() <= 0) {
+        return;
+    }
+    constexpr int probes = 2;
+    constexpr int millisecondsPerSecond = 1000;
+    const int milliseconds = static_cast<int>(timeout.count());
+    const int probeSeconds = std::max(1, milliseconds / millisecondsPerSecond / probes);
+    const int handle = socket.native_handle();
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, probes);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+}
+
+} // namespace arbutusgrade::details
--- a/libs/transport/src/storeclient.cpp
+++ b/libs/transport/src/storeclient.cpp
@@ -3,7 +3,7 @@
 
 #include <boost/json/parse.hpp>
 
-#include "details/httpclient.h"
+#include "transport/transport.h"
 
 namespace arbutusgrade {
 
--- a/libs/transport/src/targetpool.cpp
+++ b/libs/transport/src/targetpool.cpp
@@ -73,7 +73,7 @@
     messenger->m_use = Use::Cancel;
     messenger->m_deadline = steadyNow() + m_state->m_options.m_cancelLinger;
     messenger->m_connection->exchange(
-        cancelRequest(m_host, attempt, (*busy)->m_requestId),
+        cancelRequest(m_host, attempt, (*busy)->m_requestId), {},
         [weak = weak_from_this(), messenger](ExchangeEnd, const ReplyContent &) {
             if (const std::shared_ptr<TargetPool> self = weak.lock()) {
                 self->release(messenger);
@@ -254,7 +254,7 @@
     std::string &text = m_state->m_requestText;
     writeExecuteRequest(text, m_host, attempt, now);
     pooled->m_connection->exchange(
-        text, [weak = weak_from_this(), pooled](ExchangeEnd end, const ReplyContent &reply) {
+        text, {}, [weak = weak_from_this(), pooled](ExchangeEnd end, const ReplyContent &reply) {
             if (const std::shared_ptr<TargetPool> self = weak.lock()) {
                 self->handleAttemptEnd(pooled, end, reply);
             }
@@ -284,7 +284,7 @@
     AttemptFailure failure = AttemptFailure::BadReply;
     if (end == ExchangeEnd::NotSent) {
         failure = AttemptFailure::NotSent;
-    } else if (end == ExchangeEnd::Lost) {
+    } else if (end == ExchangeEnd::Lost || end == ExchangeEnd::Reset) {
         failure = AttemptFailure::ConnectionLost;
     }
     m_state->m_events.m_failure(attempt, failure);
@@ -295,7 +295,7 @@
     pooled->m_use = Use::Probe;
     pooled->m_deadline = steadyNow() + m_state->m_options.m_probeTimeout;
     pooled->m_connection->exchange(
-        getRequest(m_host, "/v1/health"),
+        getRequest(m_host, "/v1/health"), {},
         [weak = weak_from_this(), pooled](ExchangeEnd end, const ReplyContent &reply) {
             const std::shared_ptr<TargetPool> self = weak.lock();
             if (!self) {
--- /dev/null
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -0,0 +1,145 @@
+//! @brief The gateway on entry VMs: passes requests to targets of the registry until SIGTERM.
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "gatewaynode/gatewaynode.h"
+#include "platform/platform.h"
+
+ABSL_FLAG(std::string, settings, "",
+          "settings file (YAML); by default the one that the environment names");
+ABSL_FLAG(bool, check, false, "check the settings, report all findings, and end");
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr int exitFailure = 1;
+
+constexpr const char *usageText =
+    "Passes requests of callers to the targets of the registry and merges searches.\n\n"
+    "Example:\n"
+    "  arbutusgrade-gateway --settings node.yaml\n\n"
+    "SIGTERM ends it gracefully, SIGHUP makes it read its settings again. Exit codes: 0 after\n"
+    "SIGTERM, 1 if it cannot start, 2 for usage errors or findings in the settings.";
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::string settingsPath()
+{
+    const std::string flag = absl::GetFlag(FLAGS_settings);
+    const char *variable = std::getenv(arbutusgrade::platform::settingsVariable);
+    return flag.empty() && variable != nullptr ? std::string(variable) : flag;
+}
+
+//! @brief Reads the settings; findings go to standard error.
+std::optional<arbutusgrade::GatewaySettings> readSettings(const std::string &path)
+{
+    const std::optional<std::string> text = readFile(path);
+    if (!text) {
+        std::cerr << "cannot read the settings file '" << path << "'; name one with --settings\n";
+        return std::nullopt;
+    }
+    arbutusgrade::Checked<arbutusgrade::GatewaySettings> settings =
+        arbutusgrade::parseGatewaySettings({path, *text});
+    if (settings) {
+        return std::move(settings.value());
+    }
+    for (const arbutusgrade::Finding &finding : settings.error()) {
+        std::cerr << arbutusgrade::formatFinding(finding) << '\n';
+    }
+    return std::nullopt;
+}
+
+void waitForSignal(boost::asio::signal_set &signals, boost::asio::io_context &context,
+                   arbutusgrade::GatewayNode &node, const std::string &path)
+{
+    signals.async_wait([&](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            if (const std::optional<arbutusgrade::GatewaySettings> settings = readSettings(path)) {
+                node.settingsChanged(*settings);
+            }
+        } else {
+            // A repeated signal changes nothing, so that no request in flight is cut off.
+            node.beginShutdown([&context] { context.stop(); });
+        }
+        waitForSignal(signals, context, node, path);
+    });
+}
+
+int run(const std::string &path, const arbutusgrade::GatewaySettings &settings)
+{
+    // Everything runs on this thread, so the locks around sockets would only cost time.
+    boost::asio::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO);
+    arbutusgrade::LogOptions logOptions;
+    logOptions.m_node = settings.m_node;
+    logOptions.m_output = arbutusgrade::LogOutput::BoundedStandardOutput;
+    arbutusgrade::Log log(logOptions);
+    const std::unique_ptr<arbutusgrade::MetadataStore> store =
+        arbutusgrade::platform::createStore(context, settings.m_store);
+    arbutusgrade::GatewayNode node(context, settings, arbutusgrade::platform::deploymentFormat(),
+                                   *store, log);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    waitForSignal(signals, context, node, path);
+    log.write(arbutusgrade::LogLevel::Info, "started", "",
+              {{"dataCentre", settings.m_dataCentre}, {"store", settings.m_store.m_address}});
+    const std::string problem = node.start();
+    if (!problem.empty()) {
+        std::cerr << problem << '\n';
+        return exitFailure;
+    }
+    context.run();
+    log.write(arbutusgrade::LogLevel::Info, "stopped", "");
+    log.flush();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage(usageText);
+    const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
+    const std::string path = settingsPath();
+    if (rest.size() > 1 || path.empty()) {
+        std::cerr << "a settings file is required; see --help\n";
+        return exitUsage;
+    }
+    const std::optional<arbutusgrade::GatewaySettings> settings = readSettings(path);
+    if (!settings) {
+        return exitUsage;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        return 0;
+    }
+    try {
+        return run(path, *settings);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return exitFailure;
+    }
+}
