Send nothing more to a target whose address belongs to another process

Ruled out: the division of the budget between nodes; the first arrivals at each service were counted as they are. Change: 421 takes a target out of use until its entry changes, and an address belongs to the process that started last.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -100,9 +100,10 @@
 struct Target
 {
     TargetEntry m_entry;
-    bool m_removed = false;  //!< No longer in the registry.
-    TimePoint m_usableUntil; //!< For removed targets; see TargetRegistry.
-    TimePoint m_warmUntil;   //!< Slow before, as it has just started.
+    bool m_displaced = false; //!< Another process has its address.
+    bool m_removed = false;   //!< No longer in the registry.
+    TimePoint m_usableUntil;  //!< For removed targets; see TargetRegistry.
+    TimePoint m_warmUntil;    //!< Slow before, as it has just started.
     std::vector<OutstandingAttempt> m_inFlight;
     double m_slowness = 1.0;     //!< Smoothed ratio of its times to the expected ones.
     double m_failureShare = 0.0; //!< Smoothed share of attempts that failed.
@@ -180,7 +181,7 @@
 //! @brief Learns the time that a target took, relative to the expected time.
 void learnDuration(Target &target, TimePoint now, Duration taken, Duration expected);
 
-enum class TargetFailure { Failed, Silent, Full, ConnectFailed };
+enum class TargetFailure { Failed, Silent, Full, ConnectFailed, Displaced };
 void learnFailure(Target &target, TimePoint now, TargetFailure failure);
 
 // Budget of extra arrivals -----------------------------------------------------------------------
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -47,12 +47,12 @@
     if (reply.m_echoedId && *reply.m_echoedId != requestId) {
         return {Verdict::Failed, "foreign-reply", true};
     }
-    if (reply.m_notExecuted) {
-        return {Verdict::NotRun, "refused-by-target"};
-    }
     if (reply.m_status == misdirected) {
         return {Verdict::NotRun, "other-target"};
     }
+    if (reply.m_notExecuted) {
+        return {Verdict::NotRun, "refused-by-target"};
+    }
     if (!isSuccess(reply.m_status)) {
         return {Verdict::Failed, "target-error"};
     }
@@ -71,7 +71,7 @@
         break;
     case Verdict::NotRun:
         learnFailure(target, now,
-                     judgement.m_reason == "other-target" ? TargetFailure::ConnectFailed
+                     judgement.m_reason == "other-target" ? TargetFailure::Displaced
                                                           : TargetFailure::Full);
         break;
     case Verdict::NotArrived:
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -15,8 +15,21 @@
     }
 }
 
+//! @brief An address that a later process has taken over belongs to no earlier one.
+void displaceEarlier(TargetRegistry &registry, const TargetEntry &entry)
+{
+    for (const std::pair<const std::string, TargetPointer> &other : registry.m_targets) {
+        const TargetEntry &known = other.second->m_entry;
+        if (known.m_port == entry.m_port && known.m_address == entry.m_address
+            && known.m_started < entry.m_started) {
+            other.second->m_displaced = true;
+        }
+    }
+}
+
 TargetPointer addTarget(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
 {
+    displaceEarlier(registry, entry);
     const TargetPointer target = std::make_shared<Target>();
     target->m_entry = entry;
     target->m_warmUntil = now + entry.m_warmupLeft;
@@ -113,7 +126,8 @@
 
 bool acceptsRequests(const Target &target, TimePoint now)
 {
-    return !target.m_entry.m_draining && (!target.m_removed || now < target.m_usableUntil);
+    return !target.m_displaced && !target.m_entry.m_draining
+           && (!target.m_removed || now < target.m_usableUntil);
 }
 
 void forgetRemoved(TargetRegistry &registry, TimePoint now)
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -135,6 +135,10 @@
 void learnFailure(Target &target, TimePoint now, TargetFailure failure)
 {
     fadeBeliefs(target, now);
+    if (failure == TargetFailure::Displaced) {
+        target.m_displaced = true;
+        return;
+    }
     Duration avoidance = failureAvoidance;
     if (failure == TargetFailure::Full) {
         target.m_avoidUntil = std::max(target.m_avoidUntil, now + fullAvoidance);
--- /dev/null
+++ b/libs/forwarding/tests/routingtest.cpp
@@ -0,0 +1,69 @@
+#include <array>
+
+#include <gtest/gtest.h>
+
+#include "forwarding/forwarding.h"
+
+namespace arbutusgrade {
+
+namespace {
+
+Route routeOf(std::string_view host, std::string_view prefix)
+{
+    Route route;
+    route.m_host = host;
+    route.m_prefix = prefix;
+    return route;
+}
+
+} // namespace
+
+// Guards against requests that go to the service of a shorter prefix or of another host.
+TEST(Routing, TakesTheLongestPrefixOfTheHost)
+{
+    RoutingTable table;
+    table.m_routes = {routeOf("a", "/x/"), routeOf("a", "/x/y/"), routeOf("b", "/x/y/z/")};
+    EXPECT_EQ(findRoute(table, "a", "/x/y/z/1"), &table.m_routes[1]);
+    EXPECT_EQ(findRoute(table, "a", "/x/1"), &table.m_routes[0]);
+    EXPECT_EQ(findRoute(table, "a", "/x"), nullptr);
+    EXPECT_EQ(findRoute(table, "c", "/x/1"), nullptr);
+}
+
+// Guards against shares that are off their weights after few requests.
+TEST(Routing, SplitsByWeightWithinFewRequests)
+{
+    const std::array<WeightedService, 3> services{{{"a", 70.0}, {"b", 20.0}, {"c", 10.0}}};
+    std::vector<double> credits;
+    std::array<int, 3> counts{};
+    for (int request = 0; request < 100; ++request) {
+        ++counts[chooseSplit(services, credits)];
+    }
+    EXPECT_EQ(counts, (std::array<int, 3>{70, 20, 10}));
+}
+
+// Guards against records compared as signed bytes, dropped duplicates and torn records.
+TEST(Records, MergesTheGreatestAsUnsignedBytesWithDuplicates)
+{
+    const std::string high(recordBytes, '\xff');
+    const std::string low(recordBytes, 'a');
+    const std::string first = low + high + "tail";
+    const std::array<std::string_view, 2> parts{first, high};
+    EXPECT_EQ(mergeRecords(parts, 2), high + high);
+    EXPECT_EQ(mergeRecords(parts, 10), high + high + low);
+}
+
+// Guards against a request that crashes targets without end, and against counts that fall.
+TEST(Crashes, QuarantinesAfterTheLimit)
+{
+    CrashTable table;
+    const TimePoint now{std::chrono::hours(1)};
+    countCrash(table, now, 1);
+    learnCrashes(table, now, 1, 2);
+    EXPECT_FALSE(isQuarantined(table, now, 1));
+    learnCrashes(table, now, 1, 1);
+    EXPECT_EQ(countCrash(table, now, 1), 3);
+    EXPECT_TRUE(isQuarantined(table, now, 1));
+    EXPECT_FALSE(isQuarantined(table, now + CrashTable::memory, 1));
+}
+
+} // namespace arbutusgrade
