Follow the store with one watch, and judge the shards of a search by each other

Ruled out: polling stale reads, whose age is not bounded. Change: one watch on all keys, which pauses for a quarter of the time in which changes must be in force; when 70 % of the shards are in, the others are hedged after 1.5 times that time.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -12,6 +12,13 @@
 constexpr Duration hedgeRecheck{10'000};
 constexpr Duration retryRecheck{20'000};
 
+// When this share of the shards of a search is in, the others are late after a multiple of the time
+// that it took. This judges a search by itself: a node that is short of processor time delays all
+// shards alike, and its usual times say little about a pause of one target.
+constexpr std::size_t comparisonPercent = 70;
+constexpr int comparisonFactorPercent = 150;
+constexpr Duration comparisonFloor{1'000};
+
 // An attempt that nobody waits for may end by itself within this time; its connection is then used
 // again. A pause of a target is shorter.
 constexpr Duration lingerTime{400'000};
@@ -82,6 +89,7 @@
     part.m_state = PartState::Sent;
     part.m_queued = false;
     part.m_tried.push_back(target->m_entry.m_id);
+    part.m_sentAt = now;
     ++part.m_attempts;
     ++part.m_live;
     ++part.m_arrivals;
@@ -115,6 +123,24 @@
     }
 }
 
+void ForwardEngine::Implementation::compareShards(TimePoint now, Job &job)
+{
+    const std::size_t total = job.m_parts.size();
+    const std::size_t most = (total * comparisonPercent + 99) / 100;
+    if (job.m_comparing || !job.m_route->m_idempotent || job.m_done < most) {
+        return;
+    }
+    job.m_comparing = true;
+    const Duration allowed =
+        comparisonFloor + (now - job.m_arrived) * comparisonFactorPercent / 100;
+    for (std::size_t index = 0; index < total; ++index) {
+        const Part &part = job.m_parts[index];
+        if (part.m_state == PartState::Sent && part.m_live == 1) {
+            addTimer(std::max(now, part.m_sentAt + allowed), TimerKind::Hedge, job.m_id, index);
+        }
+    }
+}
+
 bool ForwardEngine::Implementation::mayRetry(const Job &job, const Part &part) const
 {
     const bool safe = job.m_route->m_idempotent || part.m_mayHaveRun == 0;
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -40,6 +40,7 @@
     ServiceState *m_service = nullptr;
     PartState m_state = PartState::Waiting;
     std::vector<std::string> m_tried; //!< Ids of targets, in order of attempts.
+    TimePoint m_sentAt;               //!< Of the latest attempt.
     int m_attempts = 0;
     int m_live = 0;       //!< Attempts without an end.
     int m_arrivals = 0;   //!< Attempts that may have reached a target.
@@ -64,6 +65,7 @@
     std::vector<Part> m_parts;
     std::size_t m_done = 0;
     std::size_t m_failed = 0;
+    bool m_comparing = false; //!< Most shards are in; the others are judged by their time.
 };
 
 struct Attempt
@@ -122,6 +124,7 @@
     void startPart(TimePoint now, Job &job, std::size_t index);
     SendResult sendAttempt(TimePoint now, Job &job, std::size_t index, AttemptReason reason);
     void hedge(TimePoint now, Job &job, std::size_t index);
+    void compareShards(TimePoint now, Job &job);
     void retry(TimePoint now, Job &job, std::size_t index);
     bool mayRetry(const Job &job, const Part &part) const;
     void pumpWaiting(TimePoint now, ServiceState &service);
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -150,6 +150,7 @@
         detachAttempts(now, job.m_id, index);
         part.m_live = 0;
     }
+    compareShards(now, job);
     progress(now, job);
 }
 
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -113,6 +113,7 @@
 {
     ForwardHeaders m_headers;
     std::string m_readinessPath;
+    std::string m_followedPrefix; //!< Of all keys below.
     std::string m_configurationKey;
     std::string m_targetPrefix; //!< Of the registry's keys; the id follows.
     std::string m_ownPrefix;    //!< Of the keys that nodes may write.
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -7,7 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "details/storefollower.h"
+#include "base/base.h"
+#include "gatewaynode/gatewaynode.h"
 
 namespace arbutusgrade {
 
@@ -24,6 +25,10 @@
     void start(std::function<void(int nodes)> changed);
     void stop();
 
+    //! @brief Takes a complete reading of the store; other keys are left alone.
+    void takeSnapshot(const std::vector<MetadataItem> &items);
+    void takeChanges(const std::vector<MetadataEvent> &events);
+
     //! @brief Nodes that count now.
     int nodeCount(TimePoint now);
 
@@ -32,9 +37,8 @@
     void writeKey();
     void keepLease();
     void keepLater(std::chrono::milliseconds delay);
-    void takeSnapshot(const std::vector<MetadataItem> &items);
-    void takeChanges(const std::vector<MetadataEvent> &events);
     void noteCount();
+    void rememberCount(std::size_t nodes);
 
     struct PastCount
     {
@@ -47,7 +51,6 @@
     std::string m_key;
     std::string m_node;
     std::chrono::milliseconds m_timeToLive;
-    std::shared_ptr<StoreFollower> m_follower;
     boost::asio::steady_timer m_timer;
     std::function<void(int nodes)> m_changed;
     std::string m_lease;
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -53,8 +53,8 @@
     HttpServer m_callers;
     HttpServer m_readiness;
     HttpServer m_metricsServer;
-    StoreSync m_sync;
     std::shared_ptr<Membership> m_membership;
+    StoreSync m_sync;
     DecisionLog m_decisions;
     LatencyMetric m_latency;
 
--- a/libs/gatewaynode/src/details/storefollower.h
+++ b/libs/gatewaynode/src/details/storefollower.h
@@ -12,6 +12,14 @@
 
 namespace arbutusgrade {
 
+struct StoreFollowerOptions
+{
+    std::chrono::milliseconds m_wait{3'000}; //!< Of one watch.
+    //! Pause after changes, in which further ones gather; each call is paid for, and changes often
+    //! come in series.
+    std::chrono::milliseconds m_gather{0};
+};
+
 //! @brief Keeps in step with all keys of a prefix: reads all pages, then watches for changes.
 //!
 //! After a lost answer it goes on from the last revision; when the store no longer has the history,
@@ -27,7 +35,7 @@
     };
 
     StoreFollower(boost::asio::io_context &context, MetadataStore &store, std::string prefix,
-                  Handlers handlers);
+                  const StoreFollowerOptions &options, Handlers handlers);
 
     void start();
 
@@ -43,9 +51,11 @@
     void watch(std::uint64_t round);
     void takeChanges(std::uint64_t round, const MetadataChanges &changes);
     void retryLater(std::uint64_t round, bool readAll);
+    void watchAfter(std::uint64_t round, std::chrono::milliseconds delay);
 
     MetadataStore &m_store;
     std::string m_prefix;
+    StoreFollowerOptions m_options;
     Handlers m_handlers;
     boost::asio::steady_timer m_timer;
     RandomGenerator m_random;
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -3,17 +3,21 @@
 #include <functional>
 #include <memory>
 
+#include "details/membership.h"
 #include "details/storefollower.h"
 #include "telemetry/telemetry.h"
 
 namespace arbutusgrade {
 
-//! @brief Brings configuration and registry from the store into the engine.
+//! @brief Brings configuration, registry and registrations of nodes from the store into the node.
+//!
+//! One watch covers all of them, since each waiting watch is paid for.
 class StoreSync
 {
 public:
     StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
-              MetadataStore &store, ForwardEngine &engine, Log &log);
+              MetadataStore &store, const StoreFollowerOptions &options, ForwardEngine &engine,
+              Membership &membership, Log &log);
 
     //! @param changed called after each change of what the engine knows.
     void start(std::function<void()> changed);
@@ -22,33 +26,30 @@
     //! @brief Reads everything again, since changes may have been missed.
     void restart();
 
-    //! @brief True once both the configuration and all registry pages have been read.
+    //! @brief True once a complete reading gave a configuration and the registry.
     bool isComplete() const
     {
-        return m_configurationRead && m_registryRead;
+        return m_configurationRead;
     }
 
 private:
-    std::shared_ptr<StoreFollower> followConfiguration(boost::asio::io_context &context);
-    std::shared_ptr<StoreFollower> followRegistry(boost::asio::io_context &context);
+    void takeSnapshot(const std::vector<MetadataItem> &items);
+    void takeChanges(const std::vector<MetadataEvent> &events);
     void takeConfiguration(const MetadataItem &item);
     void takeTarget(const MetadataItem &item);
     void dropTarget(std::string_view key, std::string_view reason);
-    void takeRegistry(const std::vector<MetadataItem> &items);
     void noteAvailability(bool available);
     void logFindings(std::string_view event, std::string_view key,
                      const std::vector<Finding> &findings);
 
     const DeploymentFormat &m_format;
-    MetadataStore &m_store;
     ForwardEngine &m_engine;
+    Membership &m_membership;
     Log &m_log;
-    std::shared_ptr<StoreFollower> m_configuration;
-    std::shared_ptr<StoreFollower> m_registry;
+    std::shared_ptr<StoreFollower> m_follower;
     std::function<void()> m_changed;
     std::unordered_map<std::string, std::uint64_t> m_unreadable; //!< Hash of the value by key.
     bool m_configurationRead = false;
-    bool m_registryRead = false;
     bool m_available = true;
 };
 
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -45,6 +45,15 @@
     return options;
 }
 
+//! @brief Changes gather for a quarter of the time in which they must be in force.
+StoreFollowerOptions followerOptions(const GatewaySettings &settings)
+{
+    constexpr int gatherDivisor = 4;
+    StoreFollowerOptions options;
+    options.m_gather = settings.m_changeBound / gatherDivisor;
+    return options;
+}
+
 HttpResponse problemResponse(int status, std::string_view problem)
 {
     HttpResponse response;
@@ -72,9 +81,9 @@
       m_engine(engineOptions(settings), bootTimeNow(), *this),
       m_client(context, ForwardClientOptions{}), m_callers(context, callerOptions(CallerLimits{})),
       m_readiness(context, HttpServerOptions{}), m_metricsServer(context, HttpServerOptions{}),
-      m_sync(context, m_format, store, m_engine, log),
       m_membership(std::make_shared<Membership>(context, store, format.m_ownPrefix + "nodes/",
                                                 settings.m_node, settings.m_minimumLease)),
+      m_sync(context, m_format, store, followerOptions(settings), m_engine, *m_membership, log),
       m_decisions(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
       m_timer(context), m_tickTimer(context), m_shutdownTimer(context),
       m_lastBootTime(bootTimeNow()), m_lastSteadyTime(steadyNow())
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -23,11 +23,6 @@
     : m_store(store), m_prefix(std::move(prefix)), m_key(m_prefix + node), m_node(std::move(node)),
       m_timeToLive(std::max(leaseTime, minimumLease)), m_timer(context)
 {
-    StoreFollower::Handlers handlers;
-    handlers.m_availability = [](bool /*available*/) {};
-    handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) { takeSnapshot(items); };
-    handlers.m_changes = [this](const std::vector<MetadataEvent> &events) { takeChanges(events); };
-    m_follower = std::make_shared<StoreFollower>(context, store, m_prefix, std::move(handlers));
 }
 
 void Membership::start(std::function<void(int nodes)> changed)
@@ -36,14 +31,12 @@
     m_past.push_back(PastCount{bootTimeNow() + countMemory, assumedNodes});
     m_changed(assumedNodes);
     createLease();
-    m_follower->start();
 }
 
 void Membership::stop()
 {
     m_stopped = true;
     m_timer.cancel();
-    m_follower->stop();
 }
 
 int Membership::nodeCount(TimePoint now)
@@ -121,32 +114,34 @@
     const std::size_t before = m_present.size();
     m_present.clear();
     for (const MetadataItem &item : items) {
-        m_present.insert(item.m_key);
+        if (item.m_key.starts_with(m_prefix)) {
+            m_present.insert(item.m_key);
+        }
     }
     if (m_present.size() < before) {
-        m_past.push_back(PastCount{bootTimeNow() + countMemory, static_cast<int>(before)});
+        rememberCount(before);
     }
     noteCount();
 }
 
 void Membership::takeChanges(const std::vector<MetadataEvent> &events)
 {
-    const int before = static_cast<int>(m_present.size());
+    const std::size_t before = m_present.size();
     bool ownKeyLost = false;
     for (const MetadataEvent &event : events) {
+        const std::string &key = event.m_item.m_key;
+        if (!key.starts_with(m_prefix)) {
+            continue;
+        }
         if (!event.m_removed) {
-            m_present.insert(event.m_item.m_key);
+            m_present.insert(key);
             continue;
         }
-        m_present.erase(event.m_item.m_key);
-        ownKeyLost = ownKeyLost || event.m_item.m_key == m_key;
+        m_present.erase(key);
+        ownKeyLost = ownKeyLost || key == m_key;
     }
-    if (static_cast<int>(m_present.size()) < before) {
-        const PastCount past{bootTimeNow() + countMemory, before};
-        while (!m_past.empty() && m_past.back().m_nodes <= before) {
-            m_past.pop_back();
-        }
-        m_past.push_back(past);
+    if (m_present.size() < before) {
+        rememberCount(before);
     }
     if (ownKeyLost && !m_present.contains(m_key) && !m_lease.empty()) {
         m_lease.clear();
@@ -155,6 +150,15 @@
     noteCount();
 }
 
+void Membership::rememberCount(std::size_t nodes)
+{
+    const PastCount past{bootTimeNow() + countMemory, static_cast<int>(nodes)};
+    while (!m_past.empty() && m_past.back().m_nodes <= past.m_nodes) {
+        m_past.pop_back();
+    }
+    m_past.push_back(past);
+}
+
 void Membership::noteCount()
 {
     m_changed(nodeCount(bootTimeNow()));
--- a/libs/gatewaynode/src/storefollower.cpp
+++ b/libs/gatewaynode/src/storefollower.cpp
@@ -6,18 +6,16 @@
 
 namespace {
 
-// A watch whose connection has gone silent is noticed at the end of its wait, which has to lie
-// within the time in which a change of configuration must be in force.
-constexpr std::chrono::milliseconds watchWait{2'500};
-
 constexpr std::chrono::milliseconds firstRetryDelay{100};
 constexpr std::chrono::milliseconds longestRetryDelay{800};
 
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &context, MetadataStore &store,
-                             std::string prefix, Handlers handlers)
-    : m_store(store), m_prefix(std::move(prefix)), m_handlers(std::move(handlers)), m_timer(context)
+                             std::string prefix, const StoreFollowerOptions &options,
+                             Handlers handlers)
+    : m_store(store), m_prefix(std::move(prefix)), m_options(options),
+      m_handlers(std::move(handlers)), m_timer(context)
 {
     m_random.m_state =
         stableHash(m_prefix) ^ static_cast<std::uint64_t>(bootTimeNow().time_since_epoch().count());
@@ -77,7 +75,7 @@
 
 void StoreFollower::watch(std::uint64_t round)
 {
-    m_store.watch(m_prefix, m_revision, watchWait,
+    m_store.watch(m_prefix, m_revision, m_options.m_wait,
                   [weak = weak_from_this(), round](const MetadataChanges &changes) {
                       const std::shared_ptr<StoreFollower> self = weak.lock();
                       if (self && self->m_round == round) {
@@ -99,10 +97,23 @@
     m_failures = 0;
     m_revision = std::max(m_revision, changes.m_storeRevision);
     m_handlers.m_availability(true);
-    if (!changes.m_events.empty()) {
-        m_handlers.m_changes(changes.m_events);
+    if (changes.m_events.empty()) {
+        watch(round);
+        return;
     }
-    watch(round);
+    m_handlers.m_changes(changes.m_events);
+    watchAfter(round, m_options.m_gather);
+}
+
+void StoreFollower::watchAfter(std::uint64_t round, std::chrono::milliseconds delay)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([weak = weak_from_this(), round](boost::system::error_code error) {
+        const std::shared_ptr<StoreFollower> self = weak.lock();
+        if (!error && self && self->m_round == round) {
+            self->watch(round);
+        }
+    });
 }
 
 void StoreFollower::retryLater(std::uint64_t round, bool readAll)
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -10,71 +10,67 @@
 } // namespace
 
 StoreSync::StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
-                     MetadataStore &store, ForwardEngine &engine, Log &log)
-    : m_format(format), m_store(store), m_engine(engine), m_log(log)
+                     MetadataStore &store, const StoreFollowerOptions &options,
+                     ForwardEngine &engine, Membership &membership, Log &log)
+    : m_format(format), m_engine(engine), m_membership(membership), m_log(log)
 {
-    m_configuration = followConfiguration(context);
-    m_registry = followRegistry(context);
+    StoreFollower::Handlers handlers;
+    handlers.m_availability = [this](bool available) { noteAvailability(available); };
+    handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) { takeSnapshot(items); };
+    handlers.m_changes = [this](const std::vector<MetadataEvent> &events) { takeChanges(events); };
+    m_follower = std::make_shared<StoreFollower>(context, store, format.m_followedPrefix, options,
+                                                 std::move(handlers));
 }
 
 void StoreSync::start(std::function<void()> changed)
 {
     m_changed = std::move(changed);
-    m_configuration->start();
-    m_registry->start();
+    m_follower->start();
 }
 
 void StoreSync::stop()
 {
-    m_configuration->stop();
-    m_registry->stop();
+    m_follower->stop();
 }
 
 void StoreSync::restart()
 {
-    m_configuration->restart();
-    m_registry->restart();
+    m_follower->restart();
 }
 
-std::shared_ptr<StoreFollower> StoreSync::followConfiguration(boost::asio::io_context &context)
+void StoreSync::takeSnapshot(const std::vector<MetadataItem> &items)
 {
-    StoreFollower::Handlers handlers;
-    handlers.m_availability = [](bool /*available*/) {};
-    handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) {
-        for (const MetadataItem &item : items) {
-            takeConfiguration(item);
-        }
-        m_changed();
-    };
-    handlers.m_changes = [this](const std::vector<MetadataEvent> &events) {
-        for (const MetadataEvent &event : events) {
-            if (!event.m_removed) {
-                takeConfiguration(event.m_item);
-            }
+    std::vector<std::string> present;
+    for (const MetadataItem &item : items) {
+        takeConfiguration(item);
+        if (item.m_key.starts_with(m_format.m_targetPrefix)) {
+            takeTarget(item);
+            present.push_back(item.m_key.substr(m_format.m_targetPrefix.size()));
         }
-        m_changed();
-    };
-    return std::make_shared<StoreFollower>(context, m_store, m_format.m_configurationKey,
-                                           std::move(handlers));
+    }
+    for (const std::string &id : removeMissing(m_engine.registry(), bootTimeNow(), present)) {
+        m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", "missing"}});
+    }
+    m_membership.takeSnapshot(items);
+    m_changed();
 }
 
-std::shared_ptr<StoreFollower> StoreSync::followRegistry(boost::asio::io_context &context)
+void StoreSync::takeChanges(const std::vector<MetadataEvent> &events)
 {
-    StoreFollower::Handlers handlers;
-    handlers.m_availability = [this](bool available) { noteAvailability(available); };
-    handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) { takeRegistry(items); };
-    handlers.m_changes = [this](const std::vector<MetadataEvent> &events) {
-        for (const MetadataEvent &event : events) {
-            if (event.m_removed) {
-                dropTarget(event.m_item.m_key, "removed");
-            } else {
-                takeTarget(event.m_item);
-            }
+    for (const MetadataEvent &event : events) {
+        const std::string &key = event.m_item.m_key;
+        const bool isTarget = key.starts_with(m_format.m_targetPrefix);
+        if (!event.m_removed) {
+            takeConfiguration(event.m_item);
         }
-        m_changed();
-    };
-    return std::make_shared<StoreFollower>(context, m_store, m_format.m_targetPrefix,
-                                           std::move(handlers));
+        if (isTarget && event.m_removed) {
+            dropTarget(key, "removed");
+        } else if (isTarget) {
+            takeTarget(event.m_item);
+        }
+    }
+    m_membership.takeChanges(events);
+    m_changed();
 }
 
 void StoreSync::takeConfiguration(const MetadataItem &item)
@@ -136,20 +132,6 @@
     }
 }
 
-void StoreSync::takeRegistry(const std::vector<MetadataItem> &items)
-{
-    std::vector<std::string> present;
-    for (const MetadataItem &item : items) {
-        takeTarget(item);
-        present.push_back(item.m_key.substr(m_format.m_targetPrefix.size()));
-    }
-    for (const std::string &id : removeMissing(m_engine.registry(), bootTimeNow(), present)) {
-        m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", "missing"}});
-    }
-    m_registryRead = true;
-    m_changed();
-}
-
 void StoreSync::noteAvailability(bool available)
 {
     if (available == m_available) {
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -174,6 +174,8 @@
     double m_extraArrivalRatio = 0.2;
     double m_extraArrivalSlack = 0.0; //!< Over all nodes.
     std::chrono::milliseconds m_extraArrivalWindow{10'000};
+    //! Time within which a change of configuration or registry must be in force.
+    std::chrono::milliseconds m_changeBound{3'000};
     std::chrono::milliseconds m_shutdownGrace{6'000}; //!< From SIGTERM to SIGKILL.
 };
 
--- a/libs/settings/src/gatewaysettings.cpp
+++ b/libs/settings/src/gatewaysettings.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -77,6 +78,11 @@
     readMillisecondsInto(reader, "minimumLeaseMilliseconds", timeRangeMilliseconds,
                          settings.m_minimumLease);
     readExtraArrivals(reader, settings);
+    readMillisecondsInto(reader, "configurationBoundMilliseconds", timeRangeMilliseconds,
+                         settings.m_changeBound);
+    std::chrono::milliseconds drainBound = settings.m_changeBound;
+    readMillisecondsInto(reader, "drainBoundMilliseconds", timeRangeMilliseconds, drainBound);
+    settings.m_changeBound = std::min(settings.m_changeBound, drainBound);
     readMillisecondsInto(reader, "shutdownGraceMilliseconds", timeRangeMilliseconds,
                          settings.m_shutdownGrace);
     closeMap(reader);
