Probe targets that take no connections, refuse what they make impossible

Ruled out: more retries, as the budget of extra arrivals was not what bound. Change: a target that takes no connection gets none until a probe connection opens; a request whose targets cannot be reached is refused at once; a node that reaches no other data centre reports that it is not ready; refusals by a target count against it.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -110,6 +110,9 @@
     TimePoint m_learnedAt;
     TimePoint m_avoidUntil;
     int m_connectFailures = 0; //!< In a row.
+    bool m_down = false;       //!< Takes no connections; gets requests again after a probe.
+    bool m_probing = false;
+    TimePoint m_probeAt; //!< For targets that are down.
 };
 
 using TargetPointer = std::shared_ptr<Target>;
@@ -148,7 +151,7 @@
 void noteStoreAway(TargetRegistry &registry);
 void noteStoreBack(TargetRegistry &registry, TimePoint now);
 
-//! @brief True if new requests may be sent to the target.
+//! @brief True if new requests may be sent to the target; one that is down counts as well.
 bool acceptsRequests(const Target &target, TimePoint now);
 
 //! @brief Forgets removed targets without attempts; call now and then.
@@ -181,6 +184,12 @@
 //! @brief Learns the time that a target took, relative to the expected time.
 void learnDuration(Target &target, TimePoint now, Duration taken, Duration expected);
 
+//! @brief True if some target of the list accepts requests and is not down.
+bool isAvailable(std::span<const TargetPointer> targets, TimePoint now);
+
+//! @brief Learns that the target took a connection.
+void learnReachable(Target &target, TimePoint now);
+
 enum class TargetFailure { Failed, Silent, Full, ConnectFailed, Displaced };
 void learnFailure(Target &target, TimePoint now, TargetFailure failure);
 
@@ -342,6 +351,8 @@
     //! @brief Ends an attempt in flight, or rejects the connection of the one whose end is being
     //! reported; no result of it is expected.
     virtual void abandon(std::uint64_t attempt) = 0;
+    //! @brief Opens a connection to a target that is down, to see whether it takes one.
+    virtual void probe(const TargetPointer &target) = 0;
     virtual void answer(const ForwardAnswer &answer) = 0;
     virtual void record(const ForwardDecision &decision) = 0;
     //! @brief Tells the other nodes that a request crashed targets.
@@ -368,6 +379,7 @@
     std::uint64_t m_budgetDenied = 0;
     std::uint64_t m_mismatches = 0; //!< Replies that belong to another request.
     std::uint64_t m_callersGone = 0;
+    std::uint64_t m_probes = 0;
     std::size_t m_inFlight = 0; //!< Requests without an answer now.
 };
 
@@ -397,6 +409,11 @@
     void submit(TimePoint now, ForwardRequestPointer request);
     void callerGone(TimePoint now, std::uint64_t caller);
     void attemptEnded(TimePoint now, std::uint64_t attempt, ForwardEnd end, TargetReply reply);
+    void probeEnded(TimePoint now, const TargetPointer &target, bool connected);
+
+    //! @brief True if no target of another data centre can be reached, and requests were refused
+    //! for it just now: callers are served better by nodes elsewhere.
+    bool isCutOff(TimePoint now) const;
 
     //! @brief Does what is due; call at nextTimer and after events.
     void advance(TimePoint now);
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -159,9 +159,14 @@
         part.m_tried.erase(part.m_tried.begin());
         result = sendAttempt(now, job, index, AttemptReason::Retry);
     }
-    if (result != SendResult::Sent) {
-        addTimer(now + retryRecheck, TimerKind::Retry, job.m_id, index);
+    if (result == SendResult::Sent) {
+        return;
+    }
+    if (!isReachable(now, part.m_service->m_name)) {
+        failPart(now, job, index, "targets-unreachable");
+        return;
     }
+    addTimer(now + retryRecheck, TimerKind::Retry, job.m_id, index);
 }
 
 void ForwardEngine::Implementation::pumpWaiting(TimePoint now, ServiceState &service)
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -117,6 +117,12 @@
     void addTimer(TimePoint at, TimerKind kind, std::uint64_t id, std::size_t part = 0);
     ServiceState &serviceState(const std::string &name);
 
+    // Reachability (reachability.cpp)
+    bool canServe(TimePoint now, const Route &route, const ServiceState *single) const;
+    bool isReachable(TimePoint now, const std::string &service) const;
+    void probeDownTargets(TimePoint now);
+    bool isCutOff(TimePoint now) const;
+
     // Expected times (timing.cpp)
     RouteTimes &timesOf(const Route &route);
 
@@ -161,13 +167,14 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_jobOfCaller;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     std::priority_queue<Timer> m_timers;
-    std::uint64_t m_lastId = 0; //!< Of jobs and attempts.
+    TimePoint m_unreachableUntil; //!< A request was refused for lack of targets shortly before.
+    std::uint64_t m_lastId = 0;   //!< Of jobs and attempts.
 };
 
 //! @brief Adds the time of a success of a route.
 void learnRouteTime(RouteTimes &times, Duration taken);
 
 //! @brief True if the shards that are in are enough for a success.
-bool hasEnoughShards(const Job &job, std::size_t included);
+bool hasEnoughShards(const Route &route, std::size_t included);
 
 } // namespace arbutusgrade
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -22,6 +22,13 @@
 
 constexpr Duration unconfiguredRetryAfter{500'000};
 
+// Targets that are down are probed at least once a second, so they are back after half of it in the
+// mean.
+constexpr Duration unreachableRetryAfter{500'000};
+
+// For this long after a refusal for lack of targets the node may count as cut off.
+constexpr Duration unreachableMemory{2'000'000};
+
 } // namespace
 
 ForwardEngine::ForwardEngine(const ForwardOptions &options, TimePoint now, ForwardOutput &output)
@@ -174,6 +181,12 @@
             job.m_parts[index].m_service = &serviceState(route.m_shards[index]);
         }
     }
+    const ServiceState *single = route.m_shards.empty() ? job.m_parts.front().m_service : nullptr;
+    if (!canServe(now, route, single)) {
+        m_unreachableUntil = now + unreachableMemory;
+        refuseNew(*request, AnswerKind::Refused, 503, "targets-unreachable", unreachableRetryAfter);
+        return;
+    }
     m_jobOfCaller[request->m_caller] = job.m_id;
     const std::uint64_t id = job.m_id;
     m_jobs[id] = std::move(owned);
@@ -227,6 +240,7 @@
         m_timers.pop();
         fire(now, timer);
     }
+    probeDownTargets(now);
 }
 
 void ForwardEngine::Implementation::fire(TimePoint now, const Timer &timer)
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -85,14 +85,12 @@
 
 } // namespace
 
-bool hasEnoughShards(const Job &job, std::size_t included)
+bool hasEnoughShards(const Route &route, std::size_t included)
 {
     // Shares such as 0.9 have no exact binary form.
     constexpr double tolerance = 1e-9;
-    return included > 0
-           && static_cast<double>(included)
-                  >= job.m_route->m_minimumShardShare * static_cast<double>(job.m_parts.size())
-                         - tolerance;
+    const double needed = route.m_minimumShardShare * static_cast<double>(route.m_shards.size());
+    return included > 0 && static_cast<double>(included) >= needed - tolerance;
 }
 
 void ForwardEngine::Implementation::attemptEnded(TimePoint now, std::uint64_t id, ForwardEnd end,
@@ -187,9 +185,9 @@
     }
     const std::size_t total = job.m_parts.size();
     const bool ended = job.m_done + job.m_failed == total;
-    if (!hasEnoughShards(job, total - job.m_failed)) {
+    if (!hasEnoughShards(*job.m_route, total - job.m_failed)) {
         failJob(now, job, false);
-    } else if (ended || (now >= job.m_answerBy && hasEnoughShards(job, job.m_done))) {
+    } else if (ended || (now >= job.m_answerBy && hasEnoughShards(*job.m_route, job.m_done))) {
         answerSearch(now, job);
     }
 }
--- /dev/null
+++ b/libs/forwarding/src/reachability.cpp
@@ -0,0 +1,76 @@
+#include <algorithm>
+
+#include "details/enginestate.h"
+
+namespace arbutusgrade {
+
+bool ForwardEngine::Implementation::isReachable(TimePoint now, const std::string &service) const
+{
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator found =
+        m_registry.m_byService.find(service);
+    return found != m_registry.m_byService.end() && isAvailable(found->second, now);
+}
+
+bool ForwardEngine::Implementation::canServe(TimePoint now, const Route &route,
+                                             const ServiceState *single) const
+{
+    if (single != nullptr) {
+        return isReachable(now, single->m_name);
+    }
+    const std::ptrdiff_t reachable =
+        std::count_if(route.m_shards.begin(), route.m_shards.end(),
+                      [&](const std::string &shard) { return isReachable(now, shard); });
+    return hasEnoughShards(route, static_cast<std::size_t>(reachable));
+}
+
+void ForwardEngine::Implementation::probeDownTargets(TimePoint now)
+{
+    for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
+        Target &target = *entry.second;
+        if (target.m_down && !target.m_probing && now >= target.m_probeAt
+            && acceptsRequests(target, now)) {
+            target.m_probing = true;
+            ++m_statistics.m_probes;
+            m_output.probe(entry.second);
+        }
+    }
+}
+
+bool ForwardEngine::Implementation::isCutOff(TimePoint now) const
+{
+    if (now >= m_unreachableUntil) {
+        return false;
+    }
+    bool anyElsewhere = false;
+    for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
+        const Target &target = *entry.second;
+        if (target.m_entry.m_dataCentre == m_options.m_dataCentre
+            || !acceptsRequests(target, now)) {
+            continue;
+        }
+        const bool mayBeReachable = !target.m_down && target.m_learnedAt != TimePoint();
+        if (mayBeReachable) {
+            return false;
+        }
+        anyElsewhere = anyElsewhere || target.m_down;
+    }
+    return anyElsewhere;
+}
+
+void ForwardEngine::probeEnded(TimePoint now, const TargetPointer &target, bool connected)
+{
+    target->m_probing = false;
+    if (!connected) {
+        learnFailure(*target, now, TargetFailure::ConnectFailed);
+        return;
+    }
+    learnReachable(*target, now);
+    registryChanged(now);
+}
+
+bool ForwardEngine::isCutOff(TimePoint now) const
+{
+    return m_implementation->isCutOff(now);
+}
+
+} // namespace arbutusgrade
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -19,11 +19,13 @@
 // for seconds after its end.
 constexpr double slownessCap = 5.0;
 
+constexpr double refusalWeight = 0.1;
+
 constexpr Duration failureAvoidance{300'000};
 constexpr Duration silenceAvoidance{700'000};
 constexpr Duration fullAvoidance{60'000};
 constexpr Duration connectAvoidance{250'000};
-constexpr int connectAvoidanceDoublings = 3;
+constexpr int connectAvoidanceDoublings = 2;
 
 // Costs in units of the usual time of a request at a healthy target.
 constexpr double inFlightCost = 0.35;
@@ -73,7 +75,7 @@
 
 bool isEligible(const Target &target, TimePoint now, const TargetCriteria &criteria)
 {
-    if (!acceptsRequests(target, now)) {
+    if (target.m_down || !acceptsRequests(target, now)) {
         return false;
     }
     if (static_cast<int>(target.m_inFlight.size()) >= criteria.m_inFlightLimit) {
@@ -128,6 +130,19 @@
     target.m_slowness +=
         observationWeight * (std::clamp(ratio, 0.3, slownessCap) - target.m_slowness);
     target.m_failureShare *= 1.0 - observationWeight;
+    learnReachable(target, now);
+}
+
+bool isAvailable(std::span<const TargetPointer> targets, TimePoint now)
+{
+    return std::any_of(targets.begin(), targets.end(), [now](const TargetPointer &target) {
+        return !target->m_down && acceptsRequests(*target, now);
+    });
+}
+
+void learnReachable(Target &target, TimePoint now)
+{
+    target.m_down = false;
     target.m_connectFailures = 0;
     target.m_avoidUntil = std::min(target.m_avoidUntil, now);
 }
@@ -141,6 +156,8 @@
     }
     Duration avoidance = failureAvoidance;
     if (failure == TargetFailure::Full) {
+        // A target that refuses part of the requests comes after one that takes them all.
+        target.m_failureShare += refusalWeight * (1.0 - target.m_failureShare);
         target.m_avoidUntil = std::max(target.m_avoidUntil, now + fullAvoidance);
         return;
     }
@@ -148,6 +165,8 @@
         avoidance =
             connectAvoidance * (1 << std::min(target.m_connectFailures, connectAvoidanceDoublings));
         ++target.m_connectFailures;
+        target.m_down = true;
+        target.m_probeAt = now + avoidance;
     } else if (failure == TargetFailure::Silent) {
         avoidance = silenceAvoidance;
     } else {
--- a/libs/forwarding/tests/enginefixture.cpp
+++ b/libs/forwarding/tests/enginefixture.cpp
@@ -55,6 +55,11 @@
     m_abandoned.push_back(attempt);
 }
 
+void RecordingOutput::probe(const TargetPointer &target)
+{
+    m_probed.push_back(target);
+}
+
 void RecordingOutput::answer(const ForwardAnswer &answer)
 {
     m_answers.push_back(answer);
--- a/libs/forwarding/tests/enginefixture.h
+++ b/libs/forwarding/tests/enginefixture.h
@@ -15,12 +15,14 @@
 public:
     void send(const ForwardOrder &order) override;
     void abandon(std::uint64_t attempt) override;
+    void probe(const TargetPointer &target) override;
     void answer(const ForwardAnswer &answer) override;
     void record(const ForwardDecision &decision) override;
     void shareCrashes(std::uint64_t fingerprint, int crashes) override;
 
     std::vector<ForwardOrder> m_orders;
     std::vector<std::uint64_t> m_abandoned;
+    std::vector<TargetPointer> m_probed;
     std::vector<ForwardAnswer> m_answers;
     std::vector<std::string> m_events;
     std::vector<std::pair<std::uint64_t, int>> m_crashes;
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -189,4 +189,52 @@
     EXPECT_TRUE(m_output.m_answers[0].m_retryAfter.has_value());
 }
 
+// Guards against requests that are tried at targets which take no connections, and against a search
+// that takes capacity although too few shards can be reached: sendersok trouble-3, 6 s to 10 s.
+TEST_F(EngineTest, RefusesASearchAtOnceWhileTooFewShardsCanBeReached)
+{
+    m_table.m_routes[0].m_minimumShardShare = 1.0;
+    adopt(2);
+    submit("/search/x");
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        fail(ordersFor("shard-1").back(), ForwardEnd::ConnectFailed);
+    }
+    const std::size_t orders = m_output.m_orders.size();
+    submit("/search/y");
+    EXPECT_EQ(m_output.m_orders.size(), orders);
+    ASSERT_FALSE(m_output.m_answers.empty());
+    EXPECT_EQ(m_output.m_answers.back().m_status, 503);
+    EXPECT_TRUE(m_output.m_answers.back().m_retryAfter.has_value());
+    pass(1s);
+    m_engine.advance(m_now);
+    ASSERT_EQ(m_output.m_probed.size(), 3U);
+    m_engine.probeEnded(m_now, m_output.m_probed[0], true);
+    submit("/search/z");
+    EXPECT_GT(m_output.m_orders.size(), orders);
+}
+
+// Guards against a node that keeps callers although it is cut off from all other data centres, and
+// against one that leaves the balancer because a service is down everywhere.
+TEST_F(EngineTest, IsCutOffOnlyWhenNoOtherDataCentreCanBeReached)
+{
+    const auto takeDown = [this](std::string_view service, const std::string &dataCentres) {
+        for (const char dataCentre : dataCentres) {
+            Target &target = *m_engine.registry().m_targets[std::string(service) + dataCentre];
+            learnFailure(target, m_now, TargetFailure::ConnectFailed);
+        }
+    };
+    submit("/search/x");
+    succeed(m_output.m_orders[0]);
+    takeDown("orders", "abc");
+    learnReachable(*m_engine.registry().m_targets["shard-1b"], m_now);
+    m_engine.registry().m_targets["shard-1b"]->m_learnedAt = m_now;
+    submit("/orders/x");
+    EXPECT_EQ(m_output.m_answers.back().m_status, 503);
+    EXPECT_FALSE(m_engine.isCutOff(m_now));
+    takeDown("shard-1", "bc");
+    takeDown("shard-2", "bc");
+    EXPECT_TRUE(m_engine.isCutOff(m_now));
+    EXPECT_FALSE(m_engine.isCutOff(m_now + 10s));
+}
+
 } // namespace arbutusgrade
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -23,6 +23,7 @@
     // Orders of the engine
     void send(const ForwardOrder &order) override;
     void abandon(std::uint64_t attempt) override;
+    void probe(const TargetPointer &target) override;
     void answer(const ForwardAnswer &answer) override;
     void record(const ForwardDecision &decision) override;
     void shareCrashes(std::uint64_t fingerprint, int crashes) override;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tickInterval{500};
+constexpr std::chrono::milliseconds tickInterval{250};
 
 // The balancer asks once a second and takes a node out after two misses; until then, and a little
 // longer, new connections still arrive. The rest of the grace is left for requests in flight.
@@ -54,6 +54,13 @@
     return options;
 }
 
+//! @brief Where the target listens; the address was checked when the entry was read.
+boost::asio::ip::tcp::endpoint endpointOf(const TargetEntry &entry)
+{
+    error_code ignored;
+    return {boost::asio::ip::make_address(entry.m_address, ignored), entry.m_port};
+}
+
 HttpResponse problemResponse(int status, std::string_view problem)
 {
     HttpResponse response;
@@ -159,12 +166,11 @@
 void GatewayNode::Implementation::send(const ForwardOrder &order)
 {
     const TargetEntry &entry = order.m_target->m_entry;
-    error_code error;
     writeAttempt(m_text, order, m_format.m_headers);
     ForwardAttempt attempt;
     attempt.m_attempt = order.m_attempt;
     attempt.m_target = entry.m_id;
-    attempt.m_endpoint = {boost::asio::ip::make_address(entry.m_address, error), entry.m_port};
+    attempt.m_endpoint = endpointOf(entry);
     attempt.m_text = m_text;
     attempt.m_idempotent = order.m_idempotent;
     attempt.m_expectNoBody = order.m_request->m_method == "HEAD";
@@ -189,6 +195,17 @@
     m_client.abandon(attempt);
 }
 
+void GatewayNode::Implementation::probe(const TargetPointer &target)
+{
+    m_client.probe(target->m_entry.m_id, endpointOf(target->m_entry),
+                   [this, target](bool connected) {
+                       m_log.write(LogLevel::Info, "target-probed", "",
+                                   {{"target", target->m_entry.m_id}, {"connected", connected}});
+                       m_engine.probeEnded(bootTimeNow(), target, connected);
+                       armTimer();
+                   });
+}
+
 void GatewayNode::Implementation::answer(const ForwardAnswer &answer)
 {
     const std::unordered_map<std::uint64_t, Waiting>::iterator found =
@@ -245,6 +262,7 @@
     noteSuspension(now);
     m_engine.advance(now);
     m_engine.registryChanged(now);
+    logReadiness();
     m_engine.setNodeCount(m_membership->nodeCount(now));
     m_decisions.reportDropped(now);
     m_log.flush();
@@ -274,7 +292,7 @@
 
 bool GatewayNode::Implementation::isReady() const
 {
-    return m_sync.isComplete() && !m_shuttingDown;
+    return m_sync.isComplete() && !m_shuttingDown && !m_engine.isCutOff(bootTimeNow());
 }
 
 void GatewayNode::Implementation::logReadiness()
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -35,6 +35,8 @@
             engine.m_mismatches);
     counter("arbutusgrade_callers_gone_total", "Callers that left before their answer",
             engine.m_callersGone);
+    counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
+            engine.m_probes);
     counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
     counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
             client.m_connectFailures);
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -262,6 +262,10 @@
     //! @brief Sends an attempt; the handler is called once, unless the attempt is abandoned.
     void send(const ForwardAttempt &attempt, ForwardHandler handler);
 
+    //! @brief Opens a connection and keeps it for later attempts.
+    void probe(const std::string &target, const asio::ip::tcp::endpoint &endpoint,
+               std::function<void(bool connected)> handler);
+
     //! @brief Closes the connection of an attempt in flight; its handler is not called.
     void abandon(std::uint64_t attempt);
 
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <charconv>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/beast/core/string.hpp>
 
@@ -113,13 +114,7 @@
 
     void open(const ForwardAttempt &attempt, ForwardHandler handler)
     {
-        const LinkPointer link = std::make_shared<Link>();
-        link->m_target = attempt.m_target;
-        link->m_connection = std::make_shared<ClientConnection>(m_context, m_statistics.m_hop,
-                                                                m_options.m_replyLimitBytes);
-        link->m_connection->setPeerTimeout(m_options.m_peerTimeout);
-        ++m_statistics.m_opened;
-        ++m_statistics.m_connections;
+        const LinkPointer link = newLink(attempt.m_target);
         const std::uint64_t id = attempt.m_attempt;
         const std::shared_ptr<asio::steady_timer> timer =
             std::make_shared<asio::steady_timer>(m_context, m_options.m_connectTimeout);
@@ -152,19 +147,69 @@
             return;
         }
         flight->second.m_connectTimer->cancel();
-        const std::weak_ptr<Link> weakLink = flight->second.m_link;
-        flight->second.m_link->m_connection->setIdleCloseHandler(
-            [weak = weak_from_this(), weakLink] {
-                const std::shared_ptr<Implementation> self = weak.lock();
-                const LinkPointer link = weakLink.lock();
-                if (self && link) {
-                    std::erase(self->m_idle[link->m_target], link);
-                    self->close(link);
-                }
-            });
+        watchIdle(flight->second.m_link);
         exchange(id, text, expectNoBody);
     }
 
+    void probe(const std::string &target, const asio::ip::tcp::endpoint &endpoint,
+               std::function<void(bool connected)> handler)
+    {
+        const LinkPointer link = newLink(target);
+        const std::shared_ptr<asio::steady_timer> timer =
+            std::make_shared<asio::steady_timer>(m_context, m_options.m_connectTimeout);
+        const std::shared_ptr<bool> ended = std::make_shared<bool>(false);
+        const std::function<void(bool)> finish = [weak = weak_from_this(), link, timer, ended,
+                                                  handler = std::move(handler)](bool connected) {
+            const std::shared_ptr<Implementation> self = weak.lock();
+            if (!self || std::exchange(*ended, true)) {
+                return;
+            }
+            timer->cancel();
+            if (connected) {
+                self->watchIdle(link);
+                link->m_idleSince = steadyNow();
+                link->m_idleLimit = self->m_options.m_idleLimit;
+                self->m_idle[link->m_target].push_back(link);
+            } else {
+                self->close(link);
+            }
+            handler(connected);
+        };
+        timer->async_wait([finish](error_code error) {
+            if (!error) {
+                finish(false);
+            }
+        });
+        link->m_connection->connect(endpoint, finish);
+    }
+
+    //! @brief A connection that is not open yet.
+    LinkPointer newLink(const std::string &target)
+    {
+        const LinkPointer link = std::make_shared<Link>();
+        link->m_target = target;
+        link->m_connection = std::make_shared<ClientConnection>(m_context, m_statistics.m_hop,
+                                                                m_options.m_replyLimitBytes);
+        link->m_connection->setPeerTimeout(m_options.m_peerTimeout);
+        ++m_statistics.m_opened;
+        ++m_statistics.m_connections;
+        return link;
+    }
+
+    //! @brief Forgets the connection when the target closes it between exchanges.
+    void watchIdle(const LinkPointer &link)
+    {
+        const std::weak_ptr<Link> weakLink = link;
+        link->m_connection->setIdleCloseHandler([weak = weak_from_this(), weakLink] {
+            const std::shared_ptr<Implementation> self = weak.lock();
+            const LinkPointer closed = weakLink.lock();
+            if (self && closed) {
+                std::erase(self->m_idle[closed->m_target], closed);
+                self->close(closed);
+            }
+        });
+    }
+
     void exchange(std::uint64_t id, std::string_view text, bool expectNoBody)
     {
         m_flights[id].m_link->m_connection->exchange(
@@ -270,6 +315,12 @@
     m_implementation->send(attempt, std::move(handler));
 }
 
+void ForwardClient::probe(const std::string &target, const asio::ip::tcp::endpoint &endpoint,
+                          std::function<void(bool connected)> handler)
+{
+    m_implementation->probe(target, endpoint, std::move(handler));
+}
+
 void ForwardClient::abandon(std::uint64_t attempt)
 {
     m_implementation->abandon(attempt);
