Tell a cut data centre by what came from elsewhere

Change: a node is cut off when requests were refused for lack of targets, four connections elsewhere failed, and nothing came from there for 400 ms.

--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -121,6 +121,7 @@
     bool canServe(TimePoint now, const Route &route, const ServiceState *single) const;
     bool isReachable(TimePoint now, const std::string &service) const;
     void probeDownTargets(TimePoint now);
+    void noteElsewhere(TimePoint now, const Target &target, bool reached);
     bool isCutOff(TimePoint now) const;
 
     // Expected times (timing.cpp)
@@ -167,6 +168,8 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_jobOfCaller;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     std::priority_queue<Timer> m_timers;
+    TimePoint m_lastElsewhere;    //!< Last sign of life from a target of another data centre.
+    int m_failuresElsewhere = 0;  //!< Connections to such targets that failed since.
     TimePoint m_unreachableUntil; //!< A request was refused for lack of targets shortly before.
     std::uint64_t m_lastId = 0;   //!< Of jobs and attempts.
 };
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -109,6 +109,7 @@
         m_output.abandon(id);
     }
     learnFromEnd(attempt, now, judgement);
+    noteElsewhere(now, *attempt.m_target, judgement.m_verdict != Verdict::NotArrived);
     if (judgement.m_verdict == Verdict::Success) {
         learnRouteTime(*attempt.m_times, now - attempt.m_sentAt);
     }
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -4,6 +4,15 @@
 
 namespace arbutusgrade {
 
+namespace {
+
+// Some targets elsewhere are always down; a cut is taken for sure when several connections have
+// failed and nothing came from there in the time of a few round trips and a pause.
+constexpr int cutOffFailures = 4;
+constexpr Duration cutOffSilence{400'000};
+
+} // namespace
+
 bool ForwardEngine::Implementation::isReachable(TimePoint now, const std::string &service) const
 {
     const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator found =
@@ -36,30 +45,29 @@
     }
 }
 
-bool ForwardEngine::Implementation::isCutOff(TimePoint now) const
+void ForwardEngine::Implementation::noteElsewhere(TimePoint now, const Target &target, bool reached)
 {
-    if (now >= m_unreachableUntil) {
-        return false;
+    if (target.m_entry.m_dataCentre == m_options.m_dataCentre) {
+        return;
     }
-    bool anyElsewhere = false;
-    for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
-        const Target &target = *entry.second;
-        if (target.m_entry.m_dataCentre == m_options.m_dataCentre
-            || !acceptsRequests(target, now)) {
-            continue;
-        }
-        const bool mayBeReachable = !target.m_down && target.m_learnedAt != TimePoint();
-        if (mayBeReachable) {
-            return false;
-        }
-        anyElsewhere = anyElsewhere || target.m_down;
+    if (reached) {
+        m_lastElsewhere = now;
+        m_failuresElsewhere = 0;
+    } else {
+        ++m_failuresElsewhere;
     }
-    return anyElsewhere;
+}
+
+bool ForwardEngine::Implementation::isCutOff(TimePoint now) const
+{
+    return now < m_unreachableUntil && m_failuresElsewhere >= cutOffFailures
+           && now - m_lastElsewhere > cutOffSilence;
 }
 
 void ForwardEngine::probeEnded(TimePoint now, const TargetPointer &target, bool connected)
 {
     target->m_probing = false;
+    m_implementation->noteElsewhere(now, *target, connected);
     if (!connected) {
         learnFailure(*target, now, TargetFailure::ConnectFailed);
         return;
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -217,24 +217,31 @@
 // against one that leaves the balancer because a service is down everywhere.
 TEST_F(EngineTest, IsCutOffOnlyWhenNoOtherDataCentreCanBeReached)
 {
-    const auto takeDown = [this](std::string_view service, const std::string &dataCentres) {
-        for (const char dataCentre : dataCentres) {
-            Target &target = *m_engine.registry().m_targets[std::string(service) + dataCentre];
-            learnFailure(target, m_now, TargetFailure::ConnectFailed);
-        }
-    };
+    m_table.m_routes[0].m_attemptLimit = 8;
+    adopt(2);
+    for (const std::string id : {"shard-1a", "shard-2a", "ordersa", "ordersb", "ordersc"}) {
+        m_engine.registry().m_targets[id]->m_down = true;
+    }
+    submit("/orders/x");
+    ASSERT_EQ(m_output.m_answers.back().m_status, 503);
+    EXPECT_FALSE(m_engine.isCutOff(m_now));
     submit("/search/x");
-    succeed(m_output.m_orders[0]);
-    takeDown("orders", "abc");
-    learnReachable(*m_engine.registry().m_targets["shard-1b"], m_now);
-    m_engine.registry().m_targets["shard-1b"]->m_learnedAt = m_now;
+    const std::vector<ForwardOrder> orders = m_output.m_orders;
+    ASSERT_EQ(orders.size(), 2U);
+    succeed(orders[0]);
+    fail(orders[1], ForwardEnd::ConnectFailed);
+    fail(lastOrder(), ForwardEnd::ConnectFailed);
     submit("/orders/x");
-    EXPECT_EQ(m_output.m_answers.back().m_status, 503);
     EXPECT_FALSE(m_engine.isCutOff(m_now));
-    takeDown("shard-1", "bc");
-    takeDown("shard-2", "bc");
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        submit("/search/y");
+        fail(lastOrder(), ForwardEnd::ConnectFailed);
+    }
+    pass(600ms);
+    submit("/orders/x");
     EXPECT_TRUE(m_engine.isCutOff(m_now));
-    EXPECT_FALSE(m_engine.isCutOff(m_now + 10s));
+    m_engine.probeEnded(m_now, m_engine.registry().m_targets["shard-2b"], true);
+    EXPECT_FALSE(m_engine.isCutOff(m_now));
 }
 
 } // namespace arbutusgrade
