Stop requests that crash targets; explain failures; stand-in with the published calls

Cause: a request that crashes each target that runs it had no bound across nodes; a failed answer did not say what it lacked; the platform's calls had no stand-in in the repository. Change: a target that lost a request is probed, and a refused connection counts as a crash; counts are shared through the store. Lines 'unanswered' name what a failed request lacks; 'arbutusgradectl explain'. The platform stand-in speaks kv-key, kv-range, kv-watch, kv-txn, kv-lease and kv-keep, and gateway-test runs the gateway against it. Before: EngineTest.StopsARequestThatCrashesTargets could not be written.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -96,6 +96,13 @@
     TimePoint m_overdueAt; //!< From then on the target looks stalled.
 };
 
+//! @brief A request whose connection ended before its reply; it may have crashed the target.
+struct LostRequest
+{
+    std::uint64_t m_fingerprint = 0;
+    TimePoint m_at;
+};
+
 //! @brief What this node knows of a target from the registry and from its own attempts.
 struct Target
 {
@@ -112,7 +119,8 @@
     int m_connectFailures = 0; //!< In a row.
     bool m_down = false;       //!< Takes no connections; gets requests again after a probe.
     bool m_probing = false;
-    TimePoint m_probeAt; //!< For targets that are down.
+    std::vector<LostRequest> m_lost; //!< Since the last sign of life.
+    TimePoint m_probeAt;             //!< For targets that are down, or that lost requests.
 };
 
 using TargetPointer = std::shared_ptr<Target>;
@@ -245,17 +253,19 @@
 
     struct Entry
     {
-        int m_crashes = 0;
+        int m_own = 0;                                 //!< Seen by this node.
+        std::unordered_map<std::string, int> m_others; //!< Seen by other nodes, by name.
         TimePoint m_expires;
     };
     std::unordered_map<std::uint64_t, Entry> m_entries; //!< By fingerprint of the request.
 };
 
-//! @brief Counts a crash seen by this node. @return the number known now.
+//! @brief Counts a crash seen by this node. @return the crashes that this node has seen.
 int countCrash(CrashTable &table, TimePoint now, std::uint64_t fingerprint);
 
-//! @brief Takes the count of another node; the higher one holds.
-void learnCrashes(CrashTable &table, TimePoint now, std::uint64_t fingerprint, int crashes);
+//! @brief Takes the count of another node; it never falls.
+void learnCrashes(CrashTable &table, TimePoint now, std::uint64_t fingerprint,
+                  std::string_view node, int crashes);
 
 bool isQuarantined(const CrashTable &table, TimePoint now, std::uint64_t fingerprint);
 
@@ -355,7 +365,7 @@
     virtual void probe(const TargetPointer &target) = 0;
     virtual void answer(const ForwardAnswer &answer) = 0;
     virtual void record(const ForwardDecision &decision) = 0;
-    //! @brief Tells the other nodes that a request crashed targets.
+    //! @brief Tells the other nodes how many crashes of targets by a request this node has seen.
     virtual void shareCrashes(std::uint64_t fingerprint, int crashes) = 0;
 };
 
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -84,8 +84,15 @@
     }
     const std::uint64_t id = ++m_lastId;
     target->m_inFlight.push_back(OutstandingAttempt{id, now + job.m_times->m_hedgeDelay});
-    m_attempts[id] = Attempt{
-        job.m_id, index, target, part.m_service, job.m_times, now, job.m_request->m_requestId};
+    Attempt &attempt = m_attempts[id];
+    attempt.m_job = job.m_id;
+    attempt.m_part = index;
+    attempt.m_target = target;
+    attempt.m_service = part.m_service;
+    attempt.m_times = job.m_times;
+    attempt.m_sentAt = now;
+    attempt.m_requestId = job.m_request->m_requestId;
+    attempt.m_fingerprint = job.m_request->m_fingerprint;
     part.m_state = PartState::Sent;
     part.m_queued = false;
     part.m_tried.push_back(target->m_entry.m_id);
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -77,9 +77,10 @@
     RouteTimes *m_times = nullptr;
     TimePoint m_sentAt;
     std::string m_requestId;
+    std::uint64_t m_fingerprint = 0;
 };
 
-enum class TimerKind { Hedge, Retry, Refuse, AnswerBy, Deadline, Linger };
+enum class TimerKind { Hedge, Retry, Refuse, AnswerBy, Deadline, Linger, Probe };
 
 struct Timer
 {
@@ -121,6 +122,8 @@
     bool canServe(TimePoint now, const Route &route, const ServiceState *single) const;
     bool isReachable(TimePoint now, const std::string &service) const;
     void probeDownTargets(TimePoint now);
+    void noteLostRequest(TimePoint now, Target &target, std::uint64_t fingerprint);
+    void noteNoConnection(TimePoint now, Target &target);
     void noteElsewhere(TimePoint now, const Target &target, bool reached);
     bool isCutOff(TimePoint now) const;
 
@@ -147,6 +150,7 @@
     void progress(TimePoint now, Job &job);
     void answerSingle(TimePoint now, Job &job);
     void answerSearch(TimePoint now, Job &job);
+    void recordUnanswered(TimePoint now, const Job &job) const;
     void failJob(TimePoint now, Job &job, bool timedOut);
     void finish(TimePoint now, Job &job, ForwardAnswer answer);
     void recordDecision(TimePoint now, const Job &job, std::size_t part, std::string_view event,
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -123,7 +123,7 @@
         return;
     }
     if (isQuarantined(m_crashes, now, request->m_fingerprint)) {
-        refuseNew(*request, AnswerKind::Quarantined, 502, "quarantined", std::nullopt);
+        refuseNew(*request, AnswerKind::Quarantined, 503, "quarantined", std::nullopt);
         return;
     }
     startJob(now, request, *route);
@@ -249,6 +249,10 @@
         endLinger(now, timer.m_id);
         return;
     }
+    if (timer.m_kind == TimerKind::Probe) {
+        // The probes that are due start after the timers.
+        return;
+    }
     Job *job = findJob(timer.m_id);
     if (job == nullptr) {
         return;
@@ -273,6 +277,7 @@
         }
         break;
     case TimerKind::Linger:
+    case TimerKind::Probe:
         break;
     }
 }
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -108,6 +108,11 @@
         ++m_statistics.m_mismatches;
         m_output.abandon(id);
     }
+    if (end == ForwardEnd::Closed || end == ForwardEnd::Reset) {
+        noteLostRequest(now, *attempt.m_target, attempt.m_fingerprint);
+    } else if (end == ForwardEnd::ConnectFailed) {
+        noteNoConnection(now, *attempt.m_target);
+    }
     learnFromEnd(attempt, now, judgement);
     noteElsewhere(now, *attempt.m_target, judgement.m_verdict != Verdict::NotArrived);
     if (judgement.m_verdict == Verdict::Success) {
@@ -238,6 +243,27 @@
     finish(now, job, std::move(answer));
 }
 
+void ForwardEngine::Implementation::recordUnanswered(TimePoint now, const Job &job) const
+{
+    // A few parts tell the cause; a search over many shards would fill the log.
+    constexpr int recordedParts = 4;
+    int recorded = 0;
+    for (std::size_t index = 0; index < job.m_parts.size() && recorded < recordedParts; ++index) {
+        const Part &part = job.m_parts[index];
+        if (part.m_state == PartState::Done) {
+            continue;
+        }
+        ++recorded;
+        std::string_view reason = part.m_reason;
+        if (reason.empty()) {
+            reason = part.m_attempts == 0 ? "not-sent" : "no-reply";
+        }
+        const std::string_view target =
+            part.m_tried.empty() ? std::string_view() : std::string_view(part.m_tried.back());
+        recordDecision(now, job, index, "unanswered", reason, target, 0);
+    }
+}
+
 void ForwardEngine::Implementation::failJob(TimePoint now, Job &job, bool timedOut)
 {
     const bool mayHaveRun =
@@ -277,6 +303,9 @@
     decision.m_status = answer.m_status;
     decision.m_missing = job.m_parts.size() - job.m_done;
     decision.m_ordinary = success && decision.m_age <= job.m_route->m_latencyTarget;
+    if (!success) {
+        recordUnanswered(now, job);
+    }
     m_output.record(decision);
     detachAttempts(now, job.m_id, std::nullopt);
     m_jobOfCaller.erase(answer.m_caller);
--- a/libs/forwarding/src/quarantine.cpp
+++ b/libs/forwarding/src/quarantine.cpp
@@ -21,21 +21,28 @@
 
 int countCrash(CrashTable &table, TimePoint now, std::uint64_t fingerprint)
 {
-    return ++liveEntry(table, now, fingerprint).m_crashes;
+    return ++liveEntry(table, now, fingerprint).m_own;
 }
 
-void learnCrashes(CrashTable &table, TimePoint now, std::uint64_t fingerprint, int crashes)
+void learnCrashes(CrashTable &table, TimePoint now, std::uint64_t fingerprint,
+                  std::string_view node, int crashes)
 {
-    CrashTable::Entry &entry = liveEntry(table, now, fingerprint);
-    entry.m_crashes = std::max(entry.m_crashes, crashes);
+    int &known = liveEntry(table, now, fingerprint).m_others[std::string(node)];
+    known = std::max(known, crashes);
 }
 
 bool isQuarantined(const CrashTable &table, TimePoint now, std::uint64_t fingerprint)
 {
     const std::unordered_map<std::uint64_t, CrashTable::Entry>::const_iterator found =
         table.m_entries.find(fingerprint);
-    return found != table.m_entries.end() && now < found->second.m_expires
-           && found->second.m_crashes >= CrashTable::crashLimit;
+    if (found == table.m_entries.end() || now >= found->second.m_expires) {
+        return false;
+    }
+    int crashes = found->second.m_own;
+    for (const std::pair<const std::string, int> &other : found->second.m_others) {
+        crashes += other.second;
+    }
+    return crashes >= CrashTable::crashLimit;
 }
 
 } // namespace arbutusgrade
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -11,6 +11,13 @@
 constexpr int cutOffFailures = 4;
 constexpr Duration cutOffSilence{400'000};
 
+// A target that lost a request is probed after this time: one that crashed takes no connection
+// then, one that only lost its reply does.
+constexpr Duration crashProbeDelay{60'000};
+
+// A request counts as the cause of a crash if the target takes no connection within this time.
+constexpr Duration crashMemory{2'500'000};
+
 } // namespace
 
 bool ForwardEngine::Implementation::isReachable(TimePoint now, const std::string &service) const
@@ -36,7 +43,8 @@
 {
     for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
         Target &target = *entry.second;
-        if (target.m_down && !target.m_probing && now >= target.m_probeAt
+        const bool isInDoubt = target.m_down || !target.m_lost.empty();
+        if (isInDoubt && !target.m_probing && now >= target.m_probeAt
             && acceptsRequests(target, now)) {
             target.m_probing = true;
             ++m_statistics.m_probes;
@@ -45,6 +53,25 @@
     }
 }
 
+void ForwardEngine::Implementation::noteLostRequest(TimePoint now, Target &target,
+                                                    std::uint64_t fingerprint)
+{
+    target.m_lost.push_back(LostRequest{fingerprint, now});
+    target.m_probeAt = now + crashProbeDelay;
+    addTimer(target.m_probeAt, TimerKind::Probe, 0);
+}
+
+void ForwardEngine::Implementation::noteNoConnection(TimePoint now, Target &target)
+{
+    for (const LostRequest &lost : target.m_lost) {
+        if (now - lost.m_at < crashMemory) {
+            m_output.shareCrashes(lost.m_fingerprint,
+                                  countCrash(m_crashes, now, lost.m_fingerprint));
+        }
+    }
+    target.m_lost.clear();
+}
+
 void ForwardEngine::Implementation::noteElsewhere(TimePoint now, const Target &target, bool reached)
 {
     if (target.m_entry.m_dataCentre == m_options.m_dataCentre) {
@@ -69,6 +96,7 @@
     target->m_probing = false;
     m_implementation->noteElsewhere(now, *target, connected);
     if (!connected) {
+        m_implementation->noteNoConnection(now, *target);
         learnFailure(*target, now, TargetFailure::ConnectFailed);
         return;
     }
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -143,6 +143,7 @@
 void learnReachable(Target &target, TimePoint now)
 {
     target.m_down = false;
+    target.m_lost.clear();
     target.m_connectFailures = 0;
     target.m_avoidUntil = std::min(target.m_avoidUntil, now);
 }
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -244,4 +244,48 @@
     EXPECT_FALSE(m_engine.isCutOff(m_now));
 }
 
+// Guards against a request that crashes target after target, sent again by its caller.
+TEST_F(EngineTest, StopsARequestThatCrashesTargets)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        submit("/orders/poison");
+        ASSERT_EQ(m_output.m_orders.size(), static_cast<std::size_t>(crash) + 1);
+        fail(lastOrder(), ForwardEnd::Closed);
+        pass(100ms);
+        ASSERT_EQ(m_output.m_probed.size(), static_cast<std::size_t>(crash) + 1);
+        m_engine.probeEnded(m_now, m_output.m_probed.back(), false);
+        learnReachable(*m_output.m_probed.back(), m_now);
+    }
+    EXPECT_EQ(m_output.m_crashes.back(),
+              (std::pair<std::uint64_t, int>(stableHash("/orders/poison"), 3)));
+    submit("/orders/poison");
+    EXPECT_EQ(m_output.m_orders.size(), 3U);
+    EXPECT_EQ(m_output.m_answers.back().m_kind, AnswerKind::Quarantined);
+    submit("/orders/other");
+    EXPECT_EQ(m_output.m_orders.size(), 4U);
+}
+
+// Guards against a sound request that is stopped because its replies were lost on the way.
+TEST_F(EngineTest, DoesNotCountALostReplyAsACrash)
+{
+    for (int loss = 0; loss < 5; ++loss) {
+        submit("/orders/sound");
+        fail(lastOrder(), ForwardEnd::Reset);
+        pass(100ms);
+        m_engine.probeEnded(m_now, m_output.m_probed.back(), true);
+    }
+    submit("/orders/sound");
+    EXPECT_EQ(m_output.m_orders.size(), 6U);
+    EXPECT_TRUE(m_output.m_crashes.empty());
+}
+
+// Guards against a failed request whose cause the log does not tell.
+TEST_F(EngineTest, RecordsWhatAFailedRequestLacks)
+{
+    submit("/search/x");
+    pass(3s);
+    EXPECT_THAT(m_output.m_events,
+                testing::IsSupersetOf({"unanswered:no-reply", "answer:time-over"}));
+}
+
 } // namespace arbutusgrade
--- a/libs/forwarding/tests/routingtest.cpp
+++ b/libs/forwarding/tests/routingtest.cpp
@@ -57,12 +57,13 @@
 {
     CrashTable table;
     const TimePoint now{std::chrono::hours(1)};
-    countCrash(table, now, 1);
-    learnCrashes(table, now, 1, 2);
+    EXPECT_EQ(countCrash(table, now, 1), 1);
+    learnCrashes(table, now, 1, "n2", 1);
+    learnCrashes(table, now, 1, "n2", 0);
     EXPECT_FALSE(isQuarantined(table, now, 1));
-    learnCrashes(table, now, 1, 1);
-    EXPECT_EQ(countCrash(table, now, 1), 3);
+    learnCrashes(table, now, 1, "n3", 1);
     EXPECT_TRUE(isQuarantined(table, now, 1));
+    EXPECT_FALSE(isQuarantined(table, now, 2));
     EXPECT_FALSE(isQuarantined(table, now + CrashTable::memory, 1));
 }
 
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -29,6 +29,12 @@
     void takeSnapshot(const std::vector<MetadataItem> &items);
     void takeChanges(const std::vector<MetadataEvent> &events);
 
+    //! @brief Lease of the registration; empty if there is none now.
+    const std::string &lease() const
+    {
+        return m_lease;
+    }
+
     //! @brief Nodes that count now.
     int nodeCount(TimePoint now);
 
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -16,13 +16,16 @@
 {
 public:
     StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
-              MetadataStore &store, const StoreFollowerOptions &options, ForwardEngine &engine,
-              Membership &membership, Log &log);
+              MetadataStore &store, const StoreFollowerOptions &options, std::string node,
+              ForwardEngine &engine, Membership &membership, Log &log);
 
     //! @param changed called after each change of what the engine knows.
     void start(std::function<void()> changed);
     void stop();
 
+    //! @brief Tells the other nodes through the store how many crashes by a request were seen here.
+    void shareCrashes(std::uint64_t fingerprint, int crashes);
+
     //! @brief Reads everything again, since changes may have been missed.
     void restart();
 
@@ -36,6 +39,7 @@
     void takeSnapshot(const std::vector<MetadataItem> &items);
     void takeChanges(const std::vector<MetadataEvent> &events);
     void takeConfiguration(const MetadataItem &item);
+    void takeCrashes(const MetadataItem &item);
     void takeTarget(const MetadataItem &item);
     void dropTarget(std::string_view key, std::string_view reason);
     void noteAvailability(bool available);
@@ -43,6 +47,9 @@
                      const std::vector<Finding> &findings);
 
     const DeploymentFormat &m_format;
+    MetadataStore &m_store;
+    std::string m_crashPrefix;
+    std::string m_node;
     ForwardEngine &m_engine;
     Membership &m_membership;
     Log &m_log;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -90,7 +90,8 @@
       m_readiness(context, HttpServerOptions{}), m_metricsServer(context, HttpServerOptions{}),
       m_membership(std::make_shared<Membership>(context, store, format.m_ownPrefix + "nodes/",
                                                 settings.m_node, settings.m_minimumLease)),
-      m_sync(context, m_format, store, followerOptions(settings), m_engine, *m_membership, log),
+      m_sync(context, m_format, store, followerOptions(settings), settings.m_node, m_engine,
+             *m_membership, log),
       m_decisions(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
       m_timer(context), m_tickTimer(context), m_shutdownTimer(context),
       m_lastBootTime(bootTimeNow()), m_lastSteadyTime(steadyNow())
@@ -226,7 +227,12 @@
     m_decisions.record(bootTimeNow(), decision);
 }
 
-void GatewayNode::Implementation::shareCrashes(std::uint64_t /*fingerprint*/, int /*crashes*/) { }
+void GatewayNode::Implementation::shareCrashes(std::uint64_t fingerprint, int crashes)
+{
+    m_log.write(LogLevel::Warning, "target-crashed", "the request may have caused it",
+                {{"fingerprint", fingerprint}, {"crashes", crashes}});
+    m_sync.shareCrashes(fingerprint, crashes);
+}
 
 void GatewayNode::Implementation::knowledgeChanged()
 {
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -1,5 +1,8 @@
 #include "details/storesync.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace arbutusgrade {
 
 namespace {
@@ -10,9 +13,10 @@
 } // namespace
 
 StoreSync::StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
-                     MetadataStore &store, const StoreFollowerOptions &options,
+                     MetadataStore &store, const StoreFollowerOptions &options, std::string node,
                      ForwardEngine &engine, Membership &membership, Log &log)
-    : m_format(format), m_engine(engine), m_membership(membership), m_log(log)
+    : m_format(format), m_store(store), m_crashPrefix(format.m_ownPrefix + "crashes/"),
+      m_node(std::move(node)), m_engine(engine), m_membership(membership), m_log(log)
 {
     StoreFollower::Handlers handlers;
     handlers.m_availability = [this](bool available) { noteAvailability(available); };
@@ -43,6 +47,7 @@
     std::vector<std::string> present;
     for (const MetadataItem &item : items) {
         takeConfiguration(item);
+        takeCrashes(item);
         if (item.m_key.starts_with(m_format.m_targetPrefix)) {
             takeTarget(item);
             present.push_back(item.m_key.substr(m_format.m_targetPrefix.size()));
@@ -62,6 +67,7 @@
         const bool isTarget = key.starts_with(m_format.m_targetPrefix);
         if (!event.m_removed) {
             takeConfiguration(event.m_item);
+            takeCrashes(event.m_item);
         }
         if (isTarget && event.m_removed) {
             dropTarget(key, "removed");
@@ -92,6 +98,38 @@
                 {{"version", version}, {"revision", item.m_revision}});
 }
 
+void StoreSync::shareCrashes(std::uint64_t fingerprint, int crashes)
+{
+    const std::string key = m_crashPrefix + std::to_string(fingerprint) + "/" + m_node;
+    m_store.write(key, std::to_string(crashes), m_membership.lease(),
+                  [&log = m_log, key](MetadataStatus status) {
+                      if (status != MetadataStatus::Ok) {
+                          log.write(LogLevel::Warning, "crash-not-shared",
+                                    "the other nodes do not know of the crash", {{"key", key}});
+                      }
+                  });
+}
+
+void StoreSync::takeCrashes(const MetadataItem &item)
+{
+    const std::string_view key = item.m_key;
+    if (!key.starts_with(m_crashPrefix)) {
+        return;
+    }
+    const std::string_view rest = key.substr(m_crashPrefix.size());
+    const std::size_t slash = std::min(rest.find('/'), rest.size());
+    std::uint64_t fingerprint = 0;
+    int crashes = 0;
+    const std::from_chars_result keyEnd =
+        std::from_chars(rest.data(), rest.data() + slash, fingerprint);
+    const std::from_chars_result valueEnd =
+        std::from_chars(item.m_value.data(), item.m_value.data() + item.m_value.size(), crashes);
+    const std::string_view node = rest.substr(std::min(slash + 1, rest.size()));
+    if (keyEnd.ec == std::errc() && valueEnd.ec == std::errc() && node != m_node) {
+        learnCrashes(m_engine.crashes(), bootTimeNow(), fingerprint, node, crashes);
+    }
+}
+
 void StoreSync::takeTarget(const MetadataItem &item)
 {
     const std::string_view id = std::string_view(item.m_key).substr(m_format.m_targetPrefix.size());
--- a/libs/telemetry/tests/telemetrytest.cpp
+++ b/libs/telemetry/tests/telemetrytest.cpp
@@ -1,3 +1,5 @@
+#include <array>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <string>
@@ -6,6 +8,11 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <fcntl.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+
+#include "details/boundedappender.h"
 #include "telemetry/telemetry.h"
 
 namespace arbutusgrade {
@@ -105,4 +112,52 @@
     EXPECT_EQ(text.find("# TYPE calls_total"), text.rfind("# TYPE calls_total"));
 }
 
+namespace {
+
+//! @brief Appender whose lines can be given directly.
+class OpenAppender : public BoundedAppender
+{
+public:
+    using BoundedAppender::BoundedAppender;
+
+    void write(const std::string &text)
+    {
+        append(log4cplus::spi::InternalLoggingEvent("test", log4cplus::INFO_LOG_LEVEL, text,
+                                                    __FILE__, __LINE__));
+    }
+};
+
+} // namespace
+
+// Guards against a process that stops because nobody reads its standard output: a full pipe delays
+// no line, memory stays bounded, and the lines that are lost are counted.
+TEST(Log, NeverBlocksOnAFullPipe)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    OpenAppender appender(ends[1]);
+    const std::string line(500, 'x');
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    for (int count = 0; count < 2000; ++count) {
+        appender.write(line);
+    }
+    appender.flush();
+    EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds(2));
+    ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    std::array<char, 65536> bytes{};
+    for (int turn = 0; turn < 20; ++turn) {
+        for (ssize_t count = 0; (count = ::read(ends[0], bytes.data(), bytes.size())) > 0;) {
+            text.append(bytes.data(), static_cast<std::size_t>(count));
+        }
+        appender.write("later");
+        appender.flush();
+    }
+    EXPECT_NE(text.find("log-output-blocked"), std::string::npos);
+    EXPECT_NE(text.find("later"), std::string::npos);
+    EXPECT_LT(text.size(), 512U * 1024U);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 } // namespace arbutusgrade
--- a/standins/platform-standin/keystore.cpp
+++ b/standins/platform-standin/keystore.cpp
@@ -37,6 +37,7 @@
         history.erase(history.begin());
     }
     history.push_back(state);
+    m_changes.push_back(KeyChange{key, state, false});
     return PutResult{true, state};
 }
 
@@ -81,6 +82,7 @@
     for (auto key = m_keys.begin(); key != m_keys.end();) {
         if (key->second.m_lease != 0 && !m_leases.contains(key->second.m_lease)) {
             m_history.erase(key->first);
+            m_changes.push_back(KeyChange{key->first, KeyState{{}, ++m_revision, 0}, true});
             key = m_keys.erase(key);
         } else {
             ++key;
@@ -103,6 +105,47 @@
     return false;
 }
 
+std::vector<KeyChange> KeyStore::list(std::string_view prefix, std::string_view after,
+                                      std::size_t limit, StoreTime now)
+{
+    expire(now);
+    std::vector<KeyChange> items;
+    for (const std::pair<const std::string, KeyState> &key : m_keys) {
+        if (items.size() < limit && key.first.starts_with(prefix) && key.first > after) {
+            items.push_back(KeyChange{key.first, key.second, false});
+        }
+    }
+    return items;
+}
+
+std::optional<std::vector<KeyChange>> KeyStore::changesAfter(std::string_view prefix,
+                                                             std::int64_t revision) const
+{
+    if (revision < m_forgottenUpTo) {
+        return std::nullopt;
+    }
+    std::vector<KeyChange> changes;
+    for (const KeyChange &change : m_changes) {
+        if (change.m_state.m_revision > revision && change.m_key.starts_with(prefix)) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+void KeyStore::remove(const std::string &key)
+{
+    if (m_keys.erase(key) > 0) {
+        m_changes.push_back(KeyChange{key, KeyState{{}, ++m_revision, 0}, true});
+    }
+}
+
+void KeyStore::dropChanges()
+{
+    m_changes.clear();
+    m_forgottenUpTo = m_revision;
+}
+
 std::size_t KeyStore::keyCount() const
 {
     return m_keys.size();
--- a/standins/platform-standin/keystore.h
+++ b/standins/platform-standin/keystore.h
@@ -20,6 +20,14 @@
     std::int64_t m_lease = 0; //!< 0: none.
 };
 
+//! @brief One change, for watches over a prefix.
+struct KeyChange
+{
+    std::string m_key;
+    KeyState m_state; //!< For removals only the revision holds.
+    bool m_removed = false;
+};
+
 struct PutResult
 {
     bool m_written = false;
@@ -54,6 +62,25 @@
 
     std::size_t keyCount() const;
 
+    //! @brief Keys with the prefix after the given key, in order, at most so many.
+    std::vector<KeyChange> list(std::string_view prefix, std::string_view after, std::size_t limit,
+                                StoreTime now);
+
+    //! @brief Changes of keys with the prefix after the revision; nothing if the history no longer
+    //! reaches back to it.
+    std::optional<std::vector<KeyChange>> changesAfter(std::string_view prefix,
+                                                       std::int64_t revision) const;
+
+    void remove(const std::string &key);
+
+    //! @brief Forgets the changes up to now, so that watches have to read again.
+    void dropChanges();
+
+    std::int64_t revision() const
+    {
+        return m_revision;
+    }
+
 private:
     struct Lease
     {
@@ -64,6 +91,8 @@
     std::map<std::string, KeyState, std::less<>> m_keys;
     std::map<std::string, std::vector<KeyState>> m_history;
     std::map<std::int64_t, Lease> m_leases;
+    std::vector<KeyChange> m_changes; //!< Oldest first.
+    std::int64_t m_forgottenUpTo = 0; //!< Changes up to this revision are no longer known.
     std::int64_t m_revision = 0;
     std::int64_t m_nextLease = 1;
 };
--- a/standins/platform-standin/platform.cpp
+++ b/standins/platform-standin/platform.cpp
@@ -180,6 +180,9 @@
         reply(responder, 429, errorBody("more calls than the rate limit allows"));
         return;
     }
+    if (performPublished(request, responder)) {
+        return;
+    }
     const StoreTime now = steady_clock::now();
     const std::string &path = request.m_path;
     const std::string_view key = afterPrefix(path, "/v1/keys/");
@@ -288,7 +291,12 @@
                 watch.m_responder(HttpResponse{503, {}, ReplyMode::Close});
             }
             m_watches.clear();
+            for (const PrefixWatch &watch : m_prefixWatches) {
+                watch.m_responder(HttpResponse{503, {}, ReplyMode::Close});
+            }
+            m_prefixWatches.clear();
         }
+        checkPrefixWatches();
         checkWatches();
         checkWatchesLater();
     });
--- a/standins/platform-standin/platform.h
+++ b/standins/platform-standin/platform.h
@@ -47,6 +47,23 @@
         Responder m_responder;
     };
 
+    //! @brief A waiting watch of the published calls.
+    struct PrefixWatch
+    {
+        std::string m_prefix;
+        std::int64_t m_after = 0;
+        StoreTime m_end;
+        Responder m_responder;
+    };
+
+    // Published calls of the users' platform (publishedcalls.cpp)
+    bool performPublished(const HttpRequest &request, const Responder &responder);
+    void readKey(const HttpRequest &request, const Responder &responder);
+    void readRange(const HttpRequest &request, const Responder &responder);
+    void commit(const HttpRequest &request, const Responder &responder);
+    void startLease(const HttpRequest &request, const Responder &responder);
+    void checkPrefixWatches();
+
     void handle(const HttpRequest &request, const Responder &responder);
     void handleControl(const HttpRequest &request, const Responder &responder);
     void perform(const HttpRequest &request, const Responder &responder);
@@ -69,6 +86,7 @@
     PlatformFaults m_faults;
     KeyStore m_store;
     std::vector<Watch> m_watches;
+    std::vector<PrefixWatch> m_prefixWatches;
     std::vector<std::pair<StoreTime, boost::json::array>> m_vms; //!< Oldest first.
     std::map<std::string, std::uint64_t> m_counts;
     std::deque<StoreTime> m_recentCalls;
--- a/tests/arbutusgradectl/arbutusgradectltest.cpp
+++ b/tests/arbutusgradectl/arbutusgradectltest.cpp
@@ -290,5 +290,28 @@
     }
 }
 
+// Guards against an on-call engineer who has to put the lines of several nodes in order by hand.
+TEST_F(Commands, ExplainPrintsTheDecisionsOnOneRequestInOrder)
+{
+    const std::string first = m_directory.path() + "/first.log";
+    const std::string second = m_directory.path() + "/second.log";
+    std::ofstream(first)
+        << R"(  3.1 n1 {"time":"T2","node":"n1","event":"answer","fields":{"request":"a1","reason":"time-over"}})"
+        << "\n{\"time\":\"T1\",\"node\":\"n1\",\"event\":\"hedge\",\"fields\":{\"request\":\"b2\"}}"
+           "\n";
+    std::ofstream(second)
+        << R"({"time":"T1","node":"n2","event":"retry","fields":{"request":"a1","reason":"reset"}})"
+        << "\nno json\n";
+    m_options.m_command = "explain";
+    m_options.m_arguments = {"a1"};
+    m_options.m_logs = {first, second};
+    std::ostringstream out;
+    std::ostringstream error;
+    EXPECT_EQ(runCommand(m_options, CommandOutput{out, error}), exitOk);
+    EXPECT_EQ(out.str(), "T1 n2 retry reason=reset\nT2 n1 answer reason=time-over\n");
+    m_options.m_arguments = {"unknown"};
+    EXPECT_EQ(runCommand(m_options, CommandOutput{out, error}), exitFailed);
+}
+
 } // namespace
 } // namespace arbutusgrade
--- /dev/null
+++ b/tests/gatewaytest.cpp
@@ -0,0 +1,334 @@
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
+#include <gtest/gtest.h>
+
+#include "support/httpclient.h"
+#include "support/process.h"
+#include "transport/transport.h"
+
+//! The gateway as a real process against the stand-in of the store and targets of this test.
+namespace arbutusgrade::support {
+namespace {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using std::chrono::seconds;
+using Tcp = asio::ip::tcp;
+
+const std::string programs = ARBUTUSGRADE_PROGRAMS;
+
+//! @brief Targets on ports of 127.0.0.1, served from a thread. A path that contains "hang" gets no
+//! answer, one that contains "slow" gets its answer after 300 ms.
+class Targets
+{
+public:
+    Targets()
+    {
+        m_thread = std::thread([this] {
+            const asio::executor_work_guard<asio::io_context::executor_type> work =
+                asio::make_work_guard(m_context);
+            m_context.run();
+        });
+    }
+
+    ~Targets()
+    {
+        m_context.stop();
+        m_thread.join();
+        m_servers.clear();
+    }
+
+    Targets(const Targets &) = delete;
+    Targets &operator=(const Targets &) = delete;
+
+    std::uint16_t add(const std::string &id, const std::string &record)
+    {
+        const std::unique_ptr<HttpServer> &server =
+            m_servers.emplace_back(std::make_unique<HttpServer>(m_context, HttpServerOptions{}));
+        server->setFallback(
+            [this, id, record](const HttpRequest &request, const HttpResponder &responder) {
+                serve(id, record, request, responder);
+            });
+        const std::uint16_t port = freePorts(1).front();
+        EXPECT_FALSE(server->listen("127.0.0.1", port));
+        return port;
+    }
+
+    int arrivals(const std::string &id)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_arrivals[id];
+    }
+
+private:
+    void serve(const std::string &id, const std::string &record, const HttpRequest &request,
+               const HttpResponder &responder)
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            ++m_arrivals[id];
+        }
+        if (request.m_path.find("hang") != std::string::npos) {
+            return;
+        }
+        HttpResponse response;
+        response.m_body = record;
+        response.m_contentType.clear();
+        response.m_headers = {{"X-Server-Stamp", "stamp-" + id},
+                              {"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))}};
+        if (request.header("X-Expected-Instance") != id) {
+            response.m_status = 421;
+        }
+        if (request.m_path.find("slow") == std::string::npos) {
+            responder(response);
+            return;
+        }
+        const std::shared_ptr<asio::steady_timer> timer =
+            std::make_shared<asio::steady_timer>(m_context, milliseconds(300));
+        timer->async_wait(
+            [timer, responder, response](boost::system::error_code) { responder(response); });
+    }
+
+    asio::io_context m_context;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+    std::mutex m_mutex;
+    std::map<std::string, int> m_arrivals;
+    std::thread m_thread;
+};
+
+std::string base64Of(const std::string &bytes)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+json::object routeOf(const std::string &name, const std::string &type)
+{
+    return {{"name", name},      {"host", "h.example"}, {"prefix", "/" + name + "/"},
+            {"routeType", type}, {"timeoutMs", 1000},   {"targetLatencyMs", 400},
+            {"priority", 1},     {"maxAttempts", 2}};
+}
+
+//! @brief Response of the gateway to one request of a caller; status 0 if there was none.
+http::response<http::string_body> ask(std::uint16_t port, const std::string &path,
+                                      const std::string &id)
+{
+    http::response<http::string_body> response;
+    response.result(0U);
+    asio::io_context context;
+    Tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), port), error);
+    if (error) {
+        return response;
+    }
+    http::request<http::string_body> request(http::verb::get, path, 11);
+    request.set(http::field::host, "h.example");
+    request.set("X-Attempt-Id", id);
+    request.set("X-Deadline-Ms", "900");
+    http::write(socket, request, error);
+    boost::beast::flat_buffer buffer;
+    http::read(socket, buffer, response, error);
+    return response;
+}
+
+class GatewayProcess : public testing::Test
+{
+protected:
+    GatewayProcess() : m_ports(freePorts(3))
+    {
+        m_store = ChildProcess({programs + "/platform-standin", "--port=0"},
+                               m_directory.path() + "/store.log");
+        m_storePort =
+            static_cast<std::uint16_t>(std::stoi(m_store.waitForOutput("port", seconds(5))));
+        json::object search = routeOf("search", "safe");
+        search["shardServices"] = json::array{"shard-1", "shard-2"};
+        search["topK"] = 2;
+        search["minShardShare"] = 0.5;
+        json::object orders = routeOf("orders", "unsafe");
+        orders["service"] = "orders";
+        putKey("op/config", json::serialize(json::object{
+                                {"version", 3},
+                                {"routes", json::array{search, orders}},
+                                {"services", json::array{json::object{{"name", "orders"},
+                                                                      {"maxConnections", 9}}}}}));
+        addTarget("a1", "shard-1", "aaaaaaaaaaaaaaaa");
+        addTarget("a2", "shard-1", "aaaaaaaaaaaaaaaa");
+        addTarget("b1", "shard-2", "bbbbbbbbbbbbbbbb");
+        addTarget("o1", "orders", "done");
+        startGateway();
+    }
+
+    void putKey(const std::string &key, const std::string &value)
+    {
+        const json::object body{
+            {"setKeys", json::array{json::object{{"key", key}, {"value", base64Of(value)}}}}};
+        ASSERT_EQ(httpCall(m_storePort, "POST", "/kv-txn", json::serialize(body)).m_status, 200U);
+    }
+
+    void addTarget(const std::string &id, const std::string &service, const std::string &record)
+    {
+        putEntry(id, service, m_targets.add(id, record), "ready");
+    }
+
+    void putEntry(const std::string &id, const std::string &service, std::uint16_t port,
+                  const std::string &state)
+    {
+        m_targetPorts[id] = port;
+        putKey("servers/" + id,
+               json::serialize(json::object{{"service", service},
+                                            {"address", "127.0.0.1:" + std::to_string(port)},
+                                            {"zone", "z"},
+                                            {"version", "v1"},
+                                            {"concurrency", 2},
+                                            {"state", state},
+                                            {"warmupLeftMs", 0},
+                                            {"sequence", 1},
+                                            {"born", 1}}));
+    }
+
+    void startGateway()
+    {
+        const std::string settings = m_directory.path() + "/node.yaml";
+        const std::string host = "\"127.0.0.1:";
+        writeFile(settings, "node: n1\ndataCentre: z\ncallers: " + host + std::to_string(m_ports[0])
+                                + "\"\nreadiness: " + host + std::to_string(m_ports[1])
+                                + "\"\nmetricsPort: " + std::to_string(m_ports[2])
+                                + "\nstore: " + host + std::to_string(m_storePort)
+                                + "\"\nextraArrivalRatio: 0.2\nextraArrivalSlack: 50\n"
+                                  "shutdownGraceMilliseconds: 2500\n");
+        m_gateway = ChildProcess({programs + "/arbutusgrade-gateway", "--settings=" + settings},
+                                 m_directory.path() + "/gateway.log");
+    }
+
+    bool isReady()
+    {
+        return httpCall(m_ports[1], "GET", "/readiness").m_status == 200;
+    }
+
+    void expectReady()
+    {
+        EXPECT_TRUE(waitUntil([this] { return isReady(); }, seconds(5)))
+            << readFile(m_directory.path() + "/gateway.log");
+    }
+
+    TemporaryDirectory m_directory;
+    std::vector<std::uint16_t> m_ports; //!< Callers, readiness, metrics.
+    ChildProcess m_store;
+    std::uint16_t m_storePort = 0;
+    std::map<std::string, std::uint16_t> m_targetPorts;
+    Targets m_targets;
+    ChildProcess m_gateway;
+};
+
+// Guards against a path through real processes that loses records, receipts or the body.
+TEST_F(GatewayProcess, MergesASearchAndRelaysARequest)
+{
+    expectReady();
+    const http::response<http::string_body> search = ask(m_ports[0], "/search/x", "1");
+    EXPECT_EQ(search.result_int(), 200U);
+    EXPECT_EQ(search.body(), "bbbbbbbbbbbbbbbbaaaaaaaaaaaaaaaa");
+    EXPECT_EQ(search["X-Missing-Parts"], "0");
+    const http::response<http::string_body> order = ask(m_ports[0], "/orders/x", "2");
+    EXPECT_EQ(order.result_int(), 200U);
+    EXPECT_EQ(order.body(), "done");
+    EXPECT_EQ(order["X-Server-Stamp"], "stamp-o1");
+    EXPECT_EQ(ask(m_ports[0], "/none/x", "3").result_int(), 404U);
+    const HttpReply metrics = httpCall(m_ports[2], "GET", "/metrics");
+    EXPECT_NE(metrics.m_body.find("arbutusgrade_requests_total 3"), std::string::npos);
+}
+
+// Guards against a request that may have run and is sent again, or called not run.
+TEST_F(GatewayProcess, EndsAHangingOrderAtItsTimeoutWithoutRepeatingIt)
+{
+    expectReady();
+    const http::response<http::string_body> order = ask(m_ports[0], "/orders/hang", "1");
+    EXPECT_EQ(order.result_int(), 504U);
+    EXPECT_EQ(m_targets.arrivals("o1"), 1);
+}
+
+// Guards against new work at a leaving target.
+TEST_F(GatewayProcess, SendsNothingToATargetThatDrains)
+{
+    expectReady();
+    putEntry("a1", "shard-1", m_targetPorts["a1"], "draining");
+    std::this_thread::sleep_for(milliseconds(1000));
+    const int before = m_targets.arrivals("a1");
+    for (int request = 0; request < 20; ++request) {
+        EXPECT_EQ(ask(m_ports[0], "/search/x", std::to_string(request)).result_int(), 200U);
+    }
+    EXPECT_EQ(m_targets.arrivals("a1"), before);
+}
+
+// Guards against a node that loses what it knows while the store is away, and against one that
+// starts then and denies requests.
+TEST_F(GatewayProcess, ServesOnWithoutTheStoreAndIsNotReadyWhenItStartsThen)
+{
+    expectReady();
+    httpCall(m_storePort, "PUT", "/v1/faults", R"({"down":true})");
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_EQ(ask(m_ports[0], "/search/x", "1").result_int(), 200U);
+    m_gateway.kill();
+    startGateway();
+    EXPECT_TRUE(waitUntil([this] { return ask(m_ports[0], "/search/x", "2").result_int() == 503; },
+                          seconds(5)));
+    EXPECT_FALSE(isReady());
+    httpCall(m_storePort, "PUT", "/v1/faults", R"({"down":false})");
+    expectReady();
+    EXPECT_EQ(ask(m_ports[0], "/search/x", "3").result_int(), 200U);
+}
+
+// Guards against a shutdown that cuts off a request in flight.
+TEST_F(GatewayProcess, AnswersARequestInFlightWhenItIsStopped)
+{
+    expectReady();
+    unsigned status = 0;
+    std::thread caller(
+        [this, &status] { status = ask(m_ports[0], "/orders/slow", "1").result_int(); });
+    std::this_thread::sleep_for(milliseconds(100));
+    m_gateway.sendSignal(SIGTERM);
+    caller.join();
+    EXPECT_EQ(status, 200U);
+    EXPECT_FALSE(isReady());
+    const std::optional<ExitState> end = m_gateway.wait(milliseconds(2600));
+    ASSERT_TRUE(end.has_value());
+    EXPECT_EQ(end->m_code, 0);
+}
+
+// Guards against a signal that ends the process instead of making it read its settings.
+TEST_F(GatewayProcess, SurvivesAChangeOfItsSettings)
+{
+    expectReady();
+    m_gateway.sendSignal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_TRUE(m_gateway.running());
+    EXPECT_TRUE(isReady());
+}
+
+// Guards against a start with settings that are wrong, and against findings told one by one.
+TEST_F(GatewayProcess, RefusesSettingsWithAllFindings)
+{
+    const std::string settings = m_directory.path() + "/bad.yaml";
+    writeFile(settings, "node: n1\nstore: nowhere\n");
+    ChildProcess bad({programs + "/arbutusgrade-gateway", "--settings=" + settings},
+                     m_directory.path() + "/bad.log");
+    const std::optional<ExitState> end = bad.wait(seconds(5));
+    ASSERT_TRUE(end.has_value());
+    EXPECT_EQ(end->m_code, 2);
+    const std::string findings = readFile(m_directory.path() + "/bad.log");
+    EXPECT_NE(findings.find("bad.yaml:2"), std::string::npos) << findings;
+    EXPECT_NE(findings.find("dataCentre"), std::string::npos) << findings;
+}
+
+} // namespace
+} // namespace arbutusgrade::support
--- a/tools/arbutusgradectl/commands.cpp
+++ b/tools/arbutusgradectl/commands.cpp
@@ -20,7 +20,7 @@
     int (*m_run)(const CommandOptions &, const CommandOutput &);
 };
 
-constexpr std::array<Command, 11> commands{{{"validate", runValidate},
+constexpr std::array<Command, 12> commands{{{"validate", runValidate},
                                             {"get", runGet},
                                             {"diff", runDiff},
                                             {"apply", runApply},
@@ -30,6 +30,7 @@
                                             {"drain", runDrain},
                                             {"undrain", runDrain},
                                             {"query", runQuery},
+                                            {"explain", runExplain},
                                             {"new-token", runNewToken}}};
 
 std::string randomHex(std::size_t byteCount)
--- a/tools/arbutusgradectl/commands.h
+++ b/tools/arbutusgradectl/commands.h
@@ -52,6 +52,7 @@
     std::string m_requestId;
     std::optional<int> m_deadlineMilliseconds;
     int m_sendNumber = 1;
+    std::vector<std::string> m_logs; //!< Files with log lines of nodes.
 };
 
 //! @brief Where a command writes.
@@ -72,6 +73,7 @@
 int runStatus(const CommandOptions &options, const CommandOutput &output);
 int runDrain(const CommandOptions &options, const CommandOutput &output);
 int runQuery(const CommandOptions &options, const CommandOutput &output);
+int runExplain(const CommandOptions &options, const CommandOutput &output);
 int runNewToken(const CommandOptions &options, const CommandOutput &output);
 
 //! @brief Texts of the files named on the command line.
--- a/tools/arbutusgradectl/main.cpp
+++ b/tools/arbutusgradectl/main.cpp
@@ -36,6 +36,7 @@
 ABSL_FLAG(std::string, service, "", "service for a kind that asks one service; any if not given");
 ABSL_FLAG(int, deadline, 0, "milliseconds until the answer must come; the kind's if not given");
 ABSL_FLAG(std::string, request_id, "", "id of the request; a random one if not given");
+ABSL_FLAG(std::vector<std::string>, log, {}, "files with log lines of nodes, comma-separated");
 ABSL_FLAG(int, attempt, 1, "1 for the first send of a request id, higher when it is sent again");
 
 namespace {
@@ -228,6 +229,7 @@
     options.m_json = absl::GetFlag(FLAGS_json);
     const double seconds = std::clamp(absl::GetFlag(FLAGS_timeout), 0.0, 3600.0);
     options.m_timeout = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000.0));
+    options.m_logs = absl::GetFlag(FLAGS_log);
     readChangeFlags(options);
     readQueryFlags(options);
     return options;
--- a/tools/arbutusgradectl/usage.cpp
+++ b/tools/arbutusgradectl/usage.cpp
@@ -24,7 +24,9 @@
     "service", "deadline",   "request_id", "attempt", "timeout"};
 constexpr std::array<FlagName, 1> localFlags{"json"};
 
-constexpr std::array<CommandUsage, 11> commands{{
+constexpr std::array<FlagName, 1> explainFlags{"log"};
+
+constexpr std::array<CommandUsage, 12> commands{{
     {"validate", "", 0, 0, false, validateFlags, "checks files without calling a node",
      R"(Prints every finding of the base and of each overlay as file:line:column: message.
 
@@ -94,6 +96,13 @@
 Examples:
   arbutusgradectl query fault-history-search --nodes=127.0.0.1:17011 --payload='{"text":"relay"}'
   arbutusgradectl query work-order --nodes=127.0.0.1:17011 --payload_file=order.json
+)"},
+    {"explain", "ID", 1, 1, false, explainFlags, "prints the decisions on a request from logs",
+     R"(Reads log lines of one or several nodes and prints what was decided on the request, in order
+of time. What a log collector puts before a line is passed over.
+
+Examples:
+  arbutusgradectl explain 9c41d07be2a35f68 --log=front-1.log,front-2.log
 )"},
     {"new-token", "", 0, 0, false, localFlags, "makes a token for a team and its hash",
      R"(The hash goes into the settings (teams, tokenHash); the token goes to the team.
