Read the store stale at the start, then catch up; let watches last as long as the bound allows

Targets that refuse part of their requests were preferred again too soon. Ruled out: stale readings without the changes since, as their age is not bounded. Change: the first reading is stale, followed by the changes since its oldest page, exactly read only where the history is gone; a watch lasts 1 s less than the contact bound; a refusal weighs more against a target.

--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -19,7 +19,7 @@
 // for seconds after its end.
 constexpr double slownessCap = 5.0;
 
-constexpr double refusalWeight = 0.1;
+constexpr double refusalWeight = 0.25;
 
 constexpr Duration failureAvoidance{300'000};
 constexpr Duration silenceAvoidance{700'000};
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -67,6 +67,12 @@
     std::chrono::milliseconds m_timeToLive{0};
 };
 
+//! @brief How current a reading must be.
+enum class Freshness {
+    Exact,
+    Stale, //!< May be seconds old; costs a fraction.
+};
+
 //! @brief Calls of the store that holds what must last. Handlers run from the io_context.
 class MetadataStore
 {
@@ -77,7 +83,7 @@
     MetadataStore &operator=(const MetadataStore &) = delete;
 
     //! @brief Reads a page of the items with the prefix whose keys come after the given key.
-    virtual void list(std::string_view prefix, std::string_view after,
+    virtual void list(std::string_view prefix, std::string_view after, Freshness freshness,
                       std::function<void(const MetadataPage &)> handler) = 0;
 
     //! @brief Waits for changes after the revision; answers without events when the wait is over.
--- a/libs/gatewaynode/src/details/storefollower.h
+++ b/libs/gatewaynode/src/details/storefollower.h
@@ -22,6 +22,8 @@
 
 //! @brief Keeps in step with all keys of a prefix: reads all pages, then watches for changes.
 //!
+//! The first reading may be stale, as it costs a fraction; the changes since then follow before it
+//! counts as complete. Where the store does not have them any more, the pages are read exactly.
 //! After a lost answer it goes on from the last revision; when the store no longer has the history,
 //! it reads all pages again.
 class StoreFollower : public std::enable_shared_from_this<StoreFollower>
@@ -40,7 +42,7 @@
     void start();
 
     //! @brief Reads all pages again, for example after a suspension of the VM.
-    void restart();
+    void restart(Freshness freshness);
 
     //! @brief No handler is called from now on.
     void stop();
@@ -48,6 +50,8 @@
 private:
     void readPage(std::uint64_t round, const std::string &after);
     void takePage(std::uint64_t round, const MetadataPage &page);
+    void completeReading(std::uint64_t round);
+    void catchUp(std::uint64_t round);
     void watch(std::uint64_t round);
     void takeChanges(std::uint64_t round, const MetadataChanges &changes);
     void retryLater(std::uint64_t round, bool readAll);
@@ -59,11 +63,12 @@
     Handlers m_handlers;
     boost::asio::steady_timer m_timer;
     RandomGenerator m_random;
-    std::vector<MetadataItem> m_items; //!< Pages of the reading in progress.
-    std::uint64_t m_firstRevision = 0; //!< Of the first page; later pages may be newer.
-    std::uint64_t m_revision = 0;      //!< Changes up to here are known.
-    std::uint64_t m_round = 0;         //!< Answers to earlier rounds are ignored.
-    int m_failures = 0;                //!< In a row.
+    std::vector<MetadataItem> m_items;  //!< Pages of the reading in progress.
+    std::uint64_t m_oldestRevision = 0; //!< Of the pages, which differ in age.
+    Freshness m_freshness = Freshness::Exact;
+    std::uint64_t m_revision = 0; //!< Changes up to here are known.
+    std::uint64_t m_round = 0;    //!< Answers to earlier rounds are ignored.
+    int m_failures = 0;           //!< In a row.
 };
 
 } // namespace arbutusgrade
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -45,11 +45,15 @@
     return options;
 }
 
-//! @brief Changes gather for a quarter of the time in which they must be in force.
+//! @brief Changes gather for a quarter of the time in which they must be in force. A watch that the
+//! store forgot in an outage ends early enough for the node to be in step again in time.
 StoreFollowerOptions followerOptions(const GatewaySettings &settings)
 {
     constexpr int gatherDivisor = 4;
+    constexpr std::chrono::milliseconds reconnectTime{1'000};
+    constexpr std::chrono::milliseconds shortestWait{500};
     StoreFollowerOptions options;
+    options.m_wait = std::max(shortestWait, settings.m_contactBound - reconnectTime);
     options.m_gather = settings.m_changeBound / gatherDivisor;
     return options;
 }
--- a/libs/gatewaynode/src/storefollower.cpp
+++ b/libs/gatewaynode/src/storefollower.cpp
@@ -9,9 +9,23 @@
 // An answer with this many changes may be part of a backlog, which is taken without pauses.
 constexpr std::size_t backlogEvents = 24;
 
+// The changes since a stale reading are there at once.
+constexpr std::chrono::milliseconds catchUpWait{1};
+
 constexpr std::chrono::milliseconds firstRetryDelay{100};
 constexpr std::chrono::milliseconds longestRetryDelay{800};
 
+void applyChanges(std::vector<MetadataItem> &items, const std::vector<MetadataEvent> &events)
+{
+    for (const MetadataEvent &event : events) {
+        std::erase_if(
+            items, [&event](const MetadataItem &item) { return item.m_key == event.m_item.m_key; });
+        if (!event.m_removed) {
+            items.push_back(event.m_item);
+        }
+    }
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &context, MetadataStore &store,
@@ -26,13 +40,14 @@
 
 void StoreFollower::start()
 {
-    restart();
+    restart(Freshness::Stale);
 }
 
-void StoreFollower::restart()
+void StoreFollower::restart(Freshness freshness)
 {
     m_timer.cancel();
     m_items.clear();
+    m_freshness = freshness;
     readPage(++m_round, "");
 }
 
@@ -44,12 +59,13 @@
 
 void StoreFollower::readPage(std::uint64_t round, const std::string &after)
 {
-    m_store.list(m_prefix, after, [weak = weak_from_this(), round](const MetadataPage &page) {
-        const std::shared_ptr<StoreFollower> self = weak.lock();
-        if (self && self->m_round == round) {
-            self->takePage(round, page);
-        }
-    });
+    m_store.list(m_prefix, after, m_freshness,
+                 [weak = weak_from_this(), round](const MetadataPage &page) {
+                     const std::shared_ptr<StoreFollower> self = weak.lock();
+                     if (self && self->m_round == round) {
+                         self->takePage(round, page);
+                     }
+                 });
 }
 
 void StoreFollower::takePage(std::uint64_t round, const MetadataPage &page)
@@ -60,15 +76,23 @@
         return;
     }
     m_failures = 0;
-    if (m_items.empty()) {
-        m_firstRevision = page.m_storeRevision;
-    }
+    m_oldestRevision =
+        m_items.empty() ? page.m_storeRevision : std::min(m_oldestRevision, page.m_storeRevision);
     m_items.insert(m_items.end(), page.m_items.begin(), page.m_items.end());
     if (page.m_more && !page.m_items.empty()) {
         readPage(round, page.m_items.back().m_key);
         return;
     }
-    m_revision = m_firstRevision;
+    m_revision = m_oldestRevision;
+    if (m_freshness == Freshness::Stale) {
+        catchUp(round);
+        return;
+    }
+    completeReading(round);
+}
+
+void StoreFollower::completeReading(std::uint64_t round)
+{
     const std::vector<MetadataItem> items = std::move(m_items);
     m_items.clear();
     m_handlers.m_availability(true);
@@ -76,6 +100,33 @@
     watch(round);
 }
 
+void StoreFollower::catchUp(std::uint64_t round)
+{
+    m_store.watch(m_prefix, m_revision, catchUpWait,
+                  [weak = weak_from_this(), round](const MetadataChanges &changes) {
+                      const std::shared_ptr<StoreFollower> self = weak.lock();
+                      if (!self || self->m_round != round) {
+                          return;
+                      }
+                      if (changes.m_status == MetadataStatus::HistoryGone) {
+                          self->restart(Freshness::Exact);
+                          return;
+                      }
+                      if (changes.m_status != MetadataStatus::Ok) {
+                          self->m_items.clear();
+                          self->retryLater(round, true);
+                          return;
+                      }
+                      applyChanges(self->m_items, changes.m_events);
+                      self->m_revision = std::max(self->m_revision, changes.m_storeRevision);
+                      if (changes.m_events.size() >= backlogEvents) {
+                          self->catchUp(round);
+                          return;
+                      }
+                      self->completeReading(round);
+                  });
+}
+
 void StoreFollower::watch(std::uint64_t round)
 {
     m_store.watch(m_prefix, m_revision, m_options.m_wait,
@@ -90,7 +141,7 @@
 void StoreFollower::takeChanges(std::uint64_t round, const MetadataChanges &changes)
 {
     if (changes.m_status == MetadataStatus::HistoryGone) {
-        restart();
+        restart(Freshness::Exact);
         return;
     }
     if (changes.m_status != MetadataStatus::Ok) {
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -39,7 +39,7 @@
 
 void StoreSync::restart()
 {
-    m_follower->restart();
+    m_follower->restart(Freshness::Exact);
 }
 
 void StoreSync::takeSnapshot(const std::vector<MetadataItem> &items)
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -2,10 +2,11 @@
 
 namespace arbutusgrade {
 
-void FakeStore::list(std::string_view prefix, std::string_view after,
+void FakeStore::list(std::string_view prefix, std::string_view after, Freshness freshness,
                      std::function<void(const MetadataPage &)> handler)
 {
     ++m_listCalls;
+    m_exactLists += freshness == Freshness::Exact ? 1 : 0;
     MetadataPage page;
     page.m_status = m_listStatus;
     page.m_storeRevision = m_revision;
@@ -23,10 +24,14 @@
 }
 
 void FakeStore::watch(std::string_view /*prefix*/, std::uint64_t afterRevision,
-                      std::chrono::milliseconds /*wait*/,
+                      std::chrono::milliseconds wait,
                       std::function<void(const MetadataChanges &)> handler)
 {
     ++m_watchCalls;
+    if (m_answersCatchUp && wait <= std::chrono::milliseconds(1)) {
+        handler(MetadataChanges{MetadataStatus::Ok, {}, afterRevision});
+        return;
+    }
     m_watches.push_back(Watch{afterRevision, std::move(handler)});
 }
 
--- a/libs/gatewaynode/tests/fakestore.h
+++ b/libs/gatewaynode/tests/fakestore.h
@@ -21,7 +21,7 @@
         std::function<void(const MetadataChanges &)> m_handler;
     };
 
-    void list(std::string_view prefix, std::string_view after,
+    void list(std::string_view prefix, std::string_view after, Freshness freshness,
               std::function<void(const MetadataPage &)> handler) override;
     void watch(std::string_view prefix, std::uint64_t afterRevision, std::chrono::milliseconds wait,
                std::function<void(const MetadataChanges &)> handler) override;
@@ -42,6 +42,9 @@
     std::vector<Watch> m_watches; //!< Waiting.
     int m_watchCalls = 0;
     int m_listCalls = 0;
+    int m_exactLists = 0;
+    //! Answers the watch that follows a stale reading at once, with nothing new.
+    bool m_answersCatchUp = true;
     int m_leases = 0;
     bool m_leaseIsKnown = true;
 };
--- a/libs/gatewaynode/tests/storefollowertest.cpp
+++ b/libs/gatewaynode/tests/storefollowertest.cpp
@@ -112,4 +112,33 @@
     EXPECT_EQ(m_snapshots, 1);
 }
 
+// Guards against a node that takes a stale reading for the present state.
+TEST_F(StoreFollowerTest, AppliesTheChangesSinceAStaleReading)
+{
+    m_store.m_answersCatchUp = false;
+    m_store.m_items = {{"a", "1"}, {"b", "2"}};
+    m_follower->start();
+    EXPECT_EQ(m_snapshots, 0);
+    m_store.answerWatch(
+        MetadataStatus::Ok,
+        {MetadataEvent{{"a", "", 11}, true}, eventOf("c", "3", 12), eventOf("d", "4", 13)}, 13);
+    EXPECT_EQ(m_snapshots, 1);
+    EXPECT_EQ(m_items, 3U);
+    ASSERT_EQ(m_store.m_watches.size(), 1U);
+    EXPECT_EQ(m_store.m_watches[0].m_after, 13U);
+    EXPECT_EQ(m_store.m_exactLists, 0);
+}
+
+// Guards against a node that never gets ready when the store has dropped its history.
+TEST_F(StoreFollowerTest, ReadsExactlyWhenTheChangesSinceAStaleReadingAreGone)
+{
+    m_store.m_answersCatchUp = false;
+    m_store.m_items = {{"a", "1"}};
+    m_follower->start();
+    m_store.answerWatch(MetadataStatus::HistoryGone, {}, 0);
+    EXPECT_EQ(m_store.m_exactLists, 1);
+    EXPECT_EQ(m_snapshots, 1);
+    EXPECT_EQ(m_items, 1U);
+}
+
 } // namespace arbutusgrade
--- a/libs/settings/src/gatewaysettings.cpp
+++ b/libs/settings/src/gatewaysettings.cpp
@@ -83,6 +83,8 @@
     std::chrono::milliseconds drainBound = settings.m_changeBound;
     readMillisecondsInto(reader, "drainBoundMilliseconds", timeRangeMilliseconds, drainBound);
     settings.m_changeBound = std::min(settings.m_changeBound, drainBound);
+    readMillisecondsInto(reader, "contactBoundMilliseconds", timeRangeMilliseconds,
+                         settings.m_contactBound);
     readMillisecondsInto(reader, "shutdownGraceMilliseconds", timeRangeMilliseconds,
                          settings.m_shutdownGrace);
     closeMap(reader);
