--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -374,7 +374,6 @@
 {
     std::string m_dataCentre;
     BudgetLimits m_budget;
-    std::uint64_t m_seed = 1;
 };
 
 struct ForwardStatistics
@@ -416,7 +415,7 @@
     //! @brief Number of nodes that share limits at the targets.
     void setNodeCount(int nodes);
 
-    void submit(TimePoint now, ForwardRequestPointer request);
+    void submit(TimePoint now, const ForwardRequestPointer &request);
     void callerGone(TimePoint now, std::uint64_t caller);
     void attemptEnded(TimePoint now, std::uint64_t attempt, ForwardEnd end, TargetReply reply);
     void probeEnded(TimePoint now, const TargetPointer &target, bool connected);
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -108,7 +108,7 @@
     }
 
     // Arrival and timers (engine.cpp)
-    void submit(TimePoint now, ForwardRequestPointer request);
+    void submit(TimePoint now, const ForwardRequestPointer &request);
     void startJob(TimePoint now, const ForwardRequestPointer &request, const Route &route);
     void refuseNew(const ForwardRequest &request, AnswerKind kind, int status,
                    std::string_view reason, std::optional<Duration> retryAfter);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -77,9 +77,9 @@
     m_implementation->m_options.m_budget.m_nodes = std::max(1, nodes);
 }
 
-void ForwardEngine::submit(TimePoint now, ForwardRequestPointer request)
+void ForwardEngine::submit(TimePoint now, const ForwardRequestPointer &request)
 {
-    m_implementation->submit(now, std::move(request));
+    m_implementation->submit(now, request);
 }
 
 void ForwardEngine::callerGone(TimePoint now, std::uint64_t caller)
@@ -110,7 +110,7 @@
     return m_implementation->m_statistics;
 }
 
-void ForwardEngine::Implementation::submit(TimePoint now, ForwardRequestPointer request)
+void ForwardEngine::Implementation::submit(TimePoint now, const ForwardRequestPointer &request)
 {
     ++m_statistics.m_requests;
     if (!m_table) {
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -30,7 +30,7 @@
 TargetPointer addTarget(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
 {
     displaceEarlier(registry, entry);
-    const TargetPointer target = std::make_shared<Target>();
+    TargetPointer target = std::make_shared<Target>();
     target->m_entry = entry;
     target->m_warmUntil = now + entry.m_warmupLeft;
     registry.m_targets[entry.m_id] = target;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -41,7 +41,6 @@
     options.m_budget.m_ratio = settings.m_extraArrivalRatio;
     options.m_budget.m_slack = settings.m_extraArrivalSlack;
     options.m_budget.m_window = settings.m_extraArrivalWindow;
-    options.m_seed = stableHash(settings.m_node);
     return options;
 }
 
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -86,7 +86,7 @@
         }
         std::vector<LinkPointer> &links = found->second;
         while (!links.empty()) {
-            const LinkPointer link = links.back();
+            LinkPointer link = links.back();
             const Duration idle = now - link->m_idleSince;
             if (idle <= link->m_idleLimit) {
                 if (!attempt.m_idempotent && idle > m_options.m_freshIdleLimit) {
@@ -186,7 +186,7 @@
     //! @brief A connection that is not open yet.
     LinkPointer newLink(const std::string &target)
     {
-        const LinkPointer link = std::make_shared<Link>();
+        LinkPointer link = std::make_shared<Link>();
         link->m_target = target;
         link->m_connection = std::make_shared<ClientConnection>(m_context, m_statistics.m_hop,
                                                                 m_options.m_replyLimitBytes);
