Look for targets to probe when a probe is due, and drop state that can be derived

Cause: reading the change: every timer scanned all targets for probes that are due; attempts copied two members of their request; logic compared the texts of log reasons; a flag, an enumerator and half of the budget's ring were not used. Ruled out: keeping the scan only with timers: a target that comes back to the registry may be down without one, so changes of the registry scan too. Change: libs/forwarding only, but for one comparison in storesync.cpp. Tests are untouched.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -142,7 +142,7 @@
     TimePoint m_graceUntil; //!< Removals before this time take effect at this time.
 };
 
-enum class EntryChange { None, Added, Changed, Restarted, Draining, Stale };
+enum class EntryChange { Added, Changed, Restarted, Draining, Stale };
 
 //! @brief Takes an entry that was read. An entry of an earlier incarnation is stale and ignored.
 EntryChange applyEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry);
@@ -215,7 +215,7 @@
 //! @brief Arrivals of this node at one service in a sliding window.
 struct ArrivalBudget
 {
-    static constexpr std::size_t bucketCount = 42; //!< Covers a window and the bucket in progress.
+    static constexpr std::size_t bucketCount = 21; //!< Covers a window and the bucket in progress.
 
     struct Bucket
     {
--- a/libs/forwarding/src/arrivalbudget.cpp
+++ b/libs/forwarding/src/arrivalbudget.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Buckets of a window; the one in progress comes on top. Two windows fit into the ring.
+// Buckets of a window; the one in progress comes on top.
 constexpr std::int64_t bucketsInWindow = 20;
 
 // Part of the slack that is used, so that nodes that come and go do not exceed it together.
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -43,12 +43,7 @@
     if (sendAttempt(now, job, index, AttemptReason::First) == SendResult::Sent) {
         return;
     }
-    Part &part = job.m_parts[index];
-    if (part.m_queued) {
-        return;
-    }
-    part.m_queued = true;
-    std::deque<WaitingPart> &waiting = part.m_service->m_waiting;
+    std::deque<WaitingPart> &waiting = job.m_parts[index].m_service->m_waiting;
     const WaitingPart entry{job.m_id, index, job.m_route->m_priority};
     waiting.insert(std::upper_bound(waiting.begin(), waiting.end(), entry,
                                     [](const WaitingPart &left, const WaitingPart &right) {
@@ -91,10 +86,8 @@
     attempt.m_service = part.m_service;
     attempt.m_times = job.m_times;
     attempt.m_sentAt = now;
-    attempt.m_requestId = job.m_request->m_requestId;
-    attempt.m_fingerprint = job.m_request->m_fingerprint;
+    attempt.m_request = job.m_request;
     part.m_state = PartState::Sent;
-    part.m_queued = false;
     part.m_tried.push_back(target->m_entry.m_id);
     part.m_sentAt = now;
     ++part.m_attempts;
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -45,8 +45,7 @@
     int m_live = 0;       //!< Attempts without an end.
     int m_arrivals = 0;   //!< Attempts that may have reached a target.
     int m_mayHaveRun = 0; //!< Attempts that a target may have run.
-    bool m_queued = false;
-    TargetReply m_reply; //!< The success, or the last failure that a target gave.
+    TargetReply m_reply;  //!< The success, or the last failure that a target gave.
     bool m_hasFailureReply = false;
     std::string_view m_reason; //!< Why it failed last.
 };
@@ -76,8 +75,7 @@
     ServiceState *m_service = nullptr;
     RouteTimes *m_times = nullptr;
     TimePoint m_sentAt;
-    std::string m_requestId;
-    std::uint64_t m_fingerprint = 0;
+    ForwardRequestPointer m_request;
 };
 
 enum class TimerKind { Hedge, Retry, Refuse, AnswerBy, Deadline, Linger, Probe };
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -61,6 +61,8 @@
 void ForwardEngine::registryChanged(TimePoint now)
 {
     forgetRemoved(m_implementation->m_registry, now);
+    // A target that comes back to the registry may be down without a timer for its probe.
+    m_implementation->probeDownTargets(now);
     for (const std::pair<const std::string, std::unique_ptr<ServiceState>> &service :
          m_implementation->m_services) {
         m_implementation->pumpWaiting(now, *service.second);
@@ -240,7 +242,6 @@
         m_timers.pop();
         fire(now, timer);
     }
-    probeDownTargets(now);
 }
 
 void ForwardEngine::Implementation::fire(TimePoint now, const Timer &timer)
@@ -250,7 +251,7 @@
         return;
     }
     if (timer.m_kind == TimerKind::Probe) {
-        // The probes that are due start after the timers.
+        probeDownTargets(now);
         return;
     }
     Job *job = findJob(timer.m_id);
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -18,9 +18,10 @@
 //! @brief What the end of an attempt means for its request.
 enum class Verdict {
     Success,
-    NotRun,     //!< The target did not run the request.
-    NotArrived, //!< It did not even reach the target.
-    Failed,     //!< It may have run.
+    NotRun,      //!< The target did not run the request.
+    OtherTarget, //!< Another process has the target's address; it did not run the request.
+    NotArrived,  //!< It did not even reach the target.
+    Failed,      //!< It may have run.
 };
 
 struct Judgement
@@ -48,7 +49,7 @@
         return {Verdict::Failed, "foreign-reply", true};
     }
     if (reply.m_status == misdirected) {
-        return {Verdict::NotRun, "other-target"};
+        return {Verdict::OtherTarget, "other-target"};
     }
     if (reply.m_notExecuted) {
         return {Verdict::NotRun, "refused-by-target"};
@@ -70,12 +71,13 @@
         learnDuration(target, now, now - attempt.m_sentAt, attempt.m_times->m_usual);
         break;
     case Verdict::NotRun:
-        learnFailure(target, now,
-                     judgement.m_reason == "other-target" ? TargetFailure::Displaced
-                                                          : TargetFailure::Full);
+        learnFailure(target, now, TargetFailure::Full);
+        break;
+    case Verdict::OtherTarget:
+        learnFailure(target, now, TargetFailure::Displaced);
         break;
     case Verdict::NotArrived:
-        learnFailure(target, now, TargetFailure::ConnectFailed);
+        // noteNoConnection has learned it.
         break;
     case Verdict::Failed:
         learnFailure(target, now, TargetFailure::Failed);
@@ -103,13 +105,13 @@
     const Attempt attempt = std::move(found->second);
     m_attempts.erase(found);
     endOutstanding(*attempt.m_target, id);
-    const Judgement judgement = judge(end, reply, attempt.m_requestId);
+    const Judgement judgement = judge(end, reply, attempt.m_request->m_requestId);
     if (judgement.m_foreign) {
         ++m_statistics.m_mismatches;
         m_output.abandon(id);
     }
     if (end == ForwardEnd::Closed || end == ForwardEnd::Reset) {
-        noteLostRequest(now, *attempt.m_target, attempt.m_fingerprint);
+        noteLostRequest(now, *attempt.m_target, attempt.m_request->m_fingerprint);
     } else if (end == ForwardEnd::ConnectFailed) {
         noteNoConnection(now, *attempt.m_target);
     }
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -70,6 +70,8 @@
         }
     }
     target.m_lost.clear();
+    learnFailure(target, now, TargetFailure::ConnectFailed);
+    addTimer(target.m_probeAt, TimerKind::Probe, 0);
 }
 
 void ForwardEngine::Implementation::noteElsewhere(TimePoint now, const Target &target, bool reached)
@@ -97,7 +99,6 @@
     m_implementation->noteElsewhere(now, *target, connected);
     if (!connected) {
         m_implementation->noteNoConnection(now, *target);
-        learnFailure(*target, now, TargetFailure::ConnectFailed);
         return;
     }
     learnReachable(*target, now);
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -144,7 +144,7 @@
         return;
     }
     const EntryChange change = applyEntry(m_engine.registry(), bootTimeNow(), entry.value());
-    if (change == EntryChange::Changed || change == EntryChange::None) {
+    if (change == EntryChange::Changed) {
         return;
     }
     std::string_view event = "target-added";
