Read the platform's documents with the reader that the administration has

Cause: platform/ had written a typed reader of JSON objects again, and it left out items of a shard list that are no names, without a finding. Ruled out: the bound on nesting of the administration's messages for documents, which may carry unknown fields of any depth; the depth is a parameter with the old bound as its default. Before: Documents.RejectsAShardListWithOtherThanNames fails with the old reader. Conclusion: one reader; a configuration with such a list is refused as a whole.

--- a/libs/administration/src/answers.cpp
+++ b/libs/administration/src/answers.cpp
@@ -2,14 +2,12 @@
 #include <optional>
 
 #include "administration/administration.h"
-#include "details/jsonreader.h"
+#include "jsonreader/jsonreader.h"
 
 namespace arbutusgrade {
 
 namespace {
 
-using namespace details;
-
 constexpr std::string_view answerFile = "answer";
 constexpr std::size_t anyLength = std::numeric_limits<std::size_t>::max();
 constexpr FieldPresence required = FieldPresence::Required;
--- a/libs/administration/src/requests.cpp
+++ b/libs/administration/src/requests.cpp
@@ -1,14 +1,12 @@
 #include <algorithm>
 
 #include "administration/administration.h"
-#include "details/jsonreader.h"
+#include "jsonreader/jsonreader.h"
 
 namespace arbutusgrade {
 
 namespace {
 
-using namespace details;
-
 constexpr std::string_view requestFile = "request";
 constexpr std::size_t minimumIdBytes = 8;
 constexpr std::size_t maximumIdBytes = 64;
--- a/libs/administration/src/details/jsonreader.h
+++ b/libs/jsonreader/include/jsonreader/jsonreader.h
@@ -11,7 +11,7 @@
 #include "base/base.h"
 
 //! @brief Typed reading of JSON objects. Faults become findings; reading goes on.
-namespace arbutusgrade::details {
+namespace arbutusgrade {
 
 namespace json = boost::json;
 
@@ -27,9 +27,14 @@
     std::vector<std::string_view> m_knownFields;
 };
 
-//! @brief Parses a text that must be one object; a syntax error is a finding with its place.
+//! Messages of the administration nest 3 levels deep.
+inline constexpr std::size_t messageDepth = 8;
+
+//! @brief Parses a text that must be one object; a syntax error is a finding with its place, and so
+//! is deeper nesting than allowed.
 std::optional<json::value> parseObject(std::string_view text, std::string_view file,
-                                       std::vector<Finding> &findings);
+                                       std::vector<Finding> &findings,
+                                       std::size_t maximumDepth = messageDepth);
 
 ObjectReader openObject(const json::value &value, std::string path, std::string_view file,
                         std::vector<Finding> &findings);
@@ -44,6 +49,10 @@
                        std::size_t maximumBytes);
 std::int64_t readNumber(ObjectReader &reader, std::string_view field, FieldPresence presence,
                         std::int64_t minimum);
+
+//! @brief Returns any number; 0 after a finding.
+double readReal(ObjectReader &reader, std::string_view field, FieldPresence presence);
+
 const json::array *readArray(ObjectReader &reader, std::string_view field, FieldPresence presence);
 
 //! @brief Reads an object whose values are all strings.
@@ -51,4 +60,4 @@
                                                                std::string_view field,
                                                                FieldPresence presence);
 
-} // namespace arbutusgrade::details
+} // namespace arbutusgrade
--- a/libs/administration/src/jsonreader.cpp
+++ b/libs/jsonreader/src/jsonreader.cpp
@@ -1,15 +1,12 @@
-#include "details/jsonreader.h"
+#include "jsonreader/jsonreader.h"
 
 #include <algorithm>
 #include <limits>
 
-namespace arbutusgrade::details {
+namespace arbutusgrade {
 
 namespace {
 
-//! Messages nest 3 levels deep.
-constexpr std::size_t maximumDepth = 8;
-
 Finding placedFinding(std::string_view text, std::size_t offset, std::string_view file,
                       std::string message)
 {
@@ -23,7 +20,7 @@
 } // namespace
 
 std::optional<json::value> parseObject(std::string_view text, std::string_view file,
-                                       std::vector<Finding> &findings)
+                                       std::vector<Finding> &findings, std::size_t maximumDepth)
 {
     json::parse_options options;
     options.max_depth = maximumDepth;
@@ -129,6 +126,21 @@
     return number;
 }
 
+double readReal(ObjectReader &reader, std::string_view field, FieldPresence presence)
+{
+    const json::value *const value = readField(reader, field, presence);
+    if (value == nullptr) {
+        return 0.0;
+    }
+    boost::system::error_code error;
+    const double number = value->to_number<double>(error);
+    if (error) {
+        addFieldFinding(reader, field, "must be a number");
+        return 0.0;
+    }
+    return number;
+}
+
 const json::array *readArray(ObjectReader &reader, std::string_view field, FieldPresence presence)
 {
     const json::value *const value = readField(reader, field, presence);
@@ -163,4 +175,4 @@
     return result;
 }
 
-} // namespace arbutusgrade::details
+} // namespace arbutusgrade
