Write out two types that were deduced

Cause: 'auto' that is neither an iterator nor a lambda. Ruled out: the other places listed, which hold iterators of find_if, lower_bound, stable_partition and try_emplace. Change: libs/query/src/engine.cpp and the loops of its benchmark. Conclusion: behaviour as it was.

--- a/libs/query/benchmarks/requestbenchmark.cpp
+++ b/libs/query/benchmarks/requestbenchmark.cpp
@@ -108,8 +108,7 @@
         engine.submit();
         engine.replyToAll();
     }
-    for (auto iteration : state) {
-        static_cast<void>(iteration);
+    while (state.KeepRunning()) {
         engine.submit();
         engine.replyToAll();
     }
@@ -127,8 +126,7 @@
 {
     constexpr std::size_t requests = 200;
     double bytes = 0;
-    for (auto iteration : state) {
-        static_cast<void>(iteration);
+    while (state.KeepRunning()) {
         BenchmarkEngine engine(state.range(0));
         engine.submit();
         engine.replyToAll();
--- a/libs/query/src/engine.cpp
+++ b/libs/query/src/engine.cpp
@@ -16,11 +16,12 @@
     }
     for (const KindSettings &kindSettings : settings.m_kinds) {
         const std::uint32_t next = static_cast<std::uint32_t>(engine.m_kinds.size());
-        const auto inserted = engine.m_kindByName.try_emplace(kindSettings.m_name, next);
-        if (inserted.second) {
+        const std::uint32_t index =
+            engine.m_kindByName.try_emplace(kindSettings.m_name, next).first->second;
+        if (index == next) {
             engine.m_kinds.emplace_back();
         }
-        KindState &kind = engine.m_kinds[inserted.first->second];
+        KindState &kind = engine.m_kinds[index];
         kind.m_settings = kindSettings;
         kind.m_group = findGroup(engine.m_table, kindSettings.m_group);
     }
