One way to open connections to targets, one copy of the encodings, waits out of platform/

ForwardClient opened connections for requests and for probes in two places, each with its own timer; both now use one. Percent and base64 encoding stood in the store client and in platform/; both move to transport. The waits of the store's client become an options struct of the product, so platform/ holds names, formats and calls only.

Before: the reply of a probe whose connection was closed meanwhile could reach its handler.

--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -67,6 +67,16 @@
     std::chrono::milliseconds m_timeToLive{0};
 };
 
+//! @brief How a node waits for the store.
+struct MetadataStoreOptions
+{
+    std::chrono::milliseconds m_callTimeout{1'500};
+    std::chrono::milliseconds m_watchAnswerTime{800}; //!< For the answer after a watch's wait.
+    std::chrono::milliseconds m_peerTimeout{2'000};   //!< For a peer that acknowledges nothing.
+    int m_callConnections = 4;
+    int m_watchConnections = 4;
+};
+
 //! @brief How current a reading must be.
 enum class Freshness {
     Exact,
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -269,9 +269,6 @@
     //! @brief Closes the connection of an attempt in flight; its handler is not called.
     void abandon(std::uint64_t attempt);
 
-    //! @brief Closes the idle connections to a target, for example since it left.
-    void dropTarget(std::string_view target);
-
     //! @brief Closes the idle connections to all targets, for example after a suspension.
     void dropIdle();
 
@@ -422,6 +419,15 @@
     std::shared_ptr<Implementation> m_implementation;
 };
 
+// Encodings --------------------------------------------------------------------------------------
+
+//! @brief Writes a text so that it can stand in the path or the query of a URL; '/' is kept.
+std::string percentEncode(std::string_view text);
+
+//! @brief Base64 of the standard alphabet with padding.
+std::string encodeBase64(std::string_view bytes);
+std::string decodeBase64(std::string_view text);
+
 // JSON text --------------------------------------------------------------------------------------
 
 //! @brief A member of a JSON object as views into its text.
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -68,7 +68,6 @@
     struct Flight
     {
         LinkPointer m_link;
-        std::shared_ptr<asio::steady_timer> m_connectTimer;
         ForwardHandler m_handler;
     };
 
@@ -105,7 +104,7 @@
     {
         const LinkPointer idle = takeIdle(attempt, steadyNow());
         if (idle) {
-            m_flights[attempt.m_attempt] = Flight{idle, nullptr, std::move(handler)};
+            m_flights[attempt.m_attempt] = Flight{idle, std::move(handler)};
             exchange(attempt.m_attempt, attempt.m_text, attempt.m_expectNoBody);
             return;
         }
@@ -114,73 +113,65 @@
 
     void open(const ForwardAttempt &attempt, ForwardHandler handler)
     {
-        const LinkPointer link = newLink(attempt.m_target);
         const std::uint64_t id = attempt.m_attempt;
-        const std::shared_ptr<asio::steady_timer> timer =
-            std::make_shared<asio::steady_timer>(m_context, m_options.m_connectTimeout);
-        m_flights[id] = Flight{link, timer, std::move(handler)};
-        timer->async_wait([weak = weak_from_this(), id](error_code error) {
-            const std::shared_ptr<Implementation> self = weak.lock();
-            if (!error && self) {
-                self->finish(id, ForwardEnd::ConnectFailed, {});
-            }
-        });
-        const bool expectNoBody = attempt.m_expectNoBody;
-        link->m_connection->connect(
-            attempt.m_endpoint, [weak = weak_from_this(), id, expectNoBody,
-                                 text = std::string(attempt.m_text)](bool connected) {
-                if (const std::shared_ptr<Implementation> self = weak.lock()) {
-                    self->handleConnected(id, connected, text, expectNoBody);
-                }
-            });
-    }
-
-    void handleConnected(std::uint64_t id, bool connected, const std::string &text,
-                         bool expectNoBody)
-    {
-        const std::unordered_map<std::uint64_t, Flight>::iterator flight = m_flights.find(id);
-        if (flight == m_flights.end()) {
-            return;
-        }
-        if (!connected) {
-            finish(id, ForwardEnd::ConnectFailed, {});
-            return;
-        }
-        flight->second.m_connectTimer->cancel();
-        watchIdle(flight->second.m_link);
-        exchange(id, text, expectNoBody);
+        const LinkPointer link = newLink(attempt.m_target);
+        m_flights[id] = Flight{link, std::move(handler)};
+        connect(link, attempt.m_endpoint,
+                [this, id, expectNoBody = attempt.m_expectNoBody,
+                 text = std::string(attempt.m_text)](bool connected) {
+                    if (!connected) {
+                        finish(id, ForwardEnd::ConnectFailed, {});
+                    } else if (m_flights.contains(id)) {
+                        exchange(id, text, expectNoBody);
+                    }
+                });
     }
 
     void probe(const std::string &target, const asio::ip::tcp::endpoint &endpoint,
                std::function<void(bool connected)> handler)
     {
         const LinkPointer link = newLink(target);
+        connect(link, endpoint, [this, link, handler = std::move(handler)](bool connected) {
+            if (connected) {
+                link->m_idleSince = steadyNow();
+                link->m_idleLimit = m_options.m_idleLimit;
+                m_idle[link->m_target].push_back(link);
+            } else {
+                close(link);
+            }
+            handler(connected);
+        });
+    }
+
+    //! @brief Opens the connection within the connect timeout. The handler is called once, unless
+    //! the connection is closed or the client ends before.
+    void connect(const LinkPointer &link, const asio::ip::tcp::endpoint &endpoint,
+                 std::function<void(bool connected)> handler)
+    {
         const std::shared_ptr<asio::steady_timer> timer =
             std::make_shared<asio::steady_timer>(m_context, m_options.m_connectTimeout);
-        const std::shared_ptr<bool> ended = std::make_shared<bool>(false);
-        const std::function<void(bool)> finish = [weak = weak_from_this(), link, timer, ended,
-                                                  handler = std::move(handler)](bool connected) {
+        const std::function<void(bool)> end = [weak = weak_from_this(), link, timer,
+                                               ended = std::make_shared<bool>(false),
+                                               handler = std::move(handler)](bool connected) {
             const std::shared_ptr<Implementation> self = weak.lock();
             if (!self || std::exchange(*ended, true)) {
                 return;
             }
             timer->cancel();
+            if (!link->m_connection) {
+                return;
+            }
             if (connected) {
                 self->watchIdle(link);
-                link->m_idleSince = steadyNow();
-                link->m_idleLimit = self->m_options.m_idleLimit;
-                self->m_idle[link->m_target].push_back(link);
-            } else {
-                self->close(link);
             }
             handler(connected);
         };
-        timer->async_wait([finish](error_code error) {
+        timer->async_wait([end](error_code error) {
             if (!error) {
-                finish(false);
+                end(false);
             }
         });
-        link->m_connection->connect(endpoint, finish);
+        link->m_connection->connect(endpoint, end);
     }
 
     //! @brief A connection that is not open yet.
@@ -229,9 +220,6 @@
         }
         const Flight flight = std::move(found->second);
         m_flights.erase(found);
-        if (flight.m_connectTimer) {
-            flight.m_connectTimer->cancel();
-        }
         if (end == ForwardEnd::ConnectFailed) {
             ++m_statistics.m_connectFailures;
         }
@@ -263,9 +251,6 @@
         }
         const Flight flight = std::move(found->second);
         m_flights.erase(found);
-        if (flight.m_connectTimer) {
-            flight.m_connectTimer->cancel();
-        }
         close(flight.m_link);
     }
 
@@ -279,17 +264,14 @@
         --m_statistics.m_connections;
     }
 
-    void dropTarget(const std::string &target)
+    void dropIdle()
     {
-        const std::unordered_map<std::string, std::vector<LinkPointer>>::iterator found =
-            m_idle.find(target);
-        if (found == m_idle.end()) {
-            return;
-        }
-        for (const LinkPointer &link : found->second) {
-            close(link);
+        for (const std::pair<const std::string, std::vector<LinkPointer>> &links : m_idle) {
+            for (const LinkPointer &link : links.second) {
+                close(link);
+            }
         }
-        m_idle.erase(found);
+        m_idle.clear();
     }
 
     asio::io_context &m_context;
@@ -326,21 +308,9 @@
     m_implementation->abandon(attempt);
 }
 
-void ForwardClient::dropTarget(std::string_view target)
-{
-    m_implementation->dropTarget(std::string(target));
-}
-
 void ForwardClient::dropIdle()
 {
-    std::vector<std::string> targets;
-    for (const std::pair<const std::string, std::vector<Implementation::LinkPointer>> &entry :
-         m_implementation->m_idle) {
-        targets.push_back(entry.first);
-    }
-    for (const std::string &target : targets) {
-        m_implementation->dropTarget(target);
-    }
+    m_implementation->dropIdle();
 }
 
 const ForwardClientStatistics &ForwardClient::statistics() const
--- a/libs/transport/src/storeclient.cpp
+++ b/libs/transport/src/storeclient.cpp
@@ -20,24 +20,6 @@
 constexpr std::chrono::minutes claimLeaseReplaceAge{50};
 constexpr std::chrono::minutes claimLeaseUseAge{60};
 
-std::string encodePath(std::string_view key)
-{
-    static constexpr std::string_view hex = "0123456789ABCDEF";
-    static constexpr std::string_view plain = "-._~/";
-    std::string encoded;
-    for (const char character : key) {
-        const unsigned char byte = static_cast<unsigned char>(character);
-        if (std::isalnum(byte) != 0 || plain.find(character) != std::string_view::npos) {
-            encoded += character;
-        } else {
-            encoded += '%';
-            encoded += hex[byte >> 4U];
-            encoded += hex[byte & 0xFU];
-        }
-    }
-    return encoded;
-}
-
 std::optional<json::object> parseObject(const ReplyContent *reply)
 {
     if (reply == nullptr) {
@@ -145,7 +127,7 @@
     void read(const CallStore &call, StoreHandler handler)
     {
         ++m_statistics.m_reads;
-        send(*m_client, {"GET", "/v1/keys/" + encodePath(call.m_key), "", deadlineOf(call)},
+        send(*m_client, {"GET", "/v1/keys/" + percentEncode(call.m_key), "", deadlineOf(call)},
              [id = call.m_call, handler = std::move(handler)](const ReplyContent *reply) {
                  StoreReply result = parseStoreReply(reply);
                  result.m_call = id;
@@ -156,10 +138,10 @@
     void write(const CallStore &call, const std::string &lease, StoreHandler handler)
     {
         ++m_statistics.m_writes;
-        std::string path = "/v1/keys/" + encodePath(call.m_key)
+        std::string path = "/v1/keys/" + percentEncode(call.m_key)
                            + "?expected=" + std::to_string(call.m_expectedRevision);
         if (call.m_leased) {
-            path += "&lease=" + encodePath(lease);
+            path += "&lease=" + percentEncode(lease);
         }
         send(*m_client, {"PUT", std::move(path), call.m_value, deadlineOf(call)},
              [weak = weak_from_this(), id = call.m_call, leased = call.m_leased,
@@ -291,7 +273,7 @@
                         StoreHandler handler)
 {
     ++m_implementation->m_statistics.m_watches;
-    const std::string path = "/v1/watch/" + encodePath(key)
+    const std::string path = "/v1/watch/" + percentEncode(key)
                              + "?after=" + std::to_string(afterRevision)
                              + "&waitSeconds=" + std::to_string(wait.count());
     const TimePoint deadline = steadyNow() + wait + m_implementation->m_options.m_timeout;
--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -99,8 +99,8 @@
     logOptions.m_node = settings.m_node;
     logOptions.m_output = arbutusgrade::LogOutput::BoundedStandardOutput;
     arbutusgrade::Log log(logOptions);
-    const std::unique_ptr<arbutusgrade::MetadataStore> store =
-        arbutusgrade::platform::createStore(context, settings.m_store);
+    const std::unique_ptr<arbutusgrade::MetadataStore> store = arbutusgrade::platform::createStore(
+        context, settings.m_store, arbutusgrade::MetadataStoreOptions{});
     arbutusgrade::GatewayNode node(context, settings, arbutusgrade::platform::deploymentFormat(),
                                    *store, log);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
