--- a/tools/arbutusgrade-load/loadrun.cpp
+++ b/tools/arbutusgrade-load/loadrun.cpp
@@ -190,6 +190,8 @@
     void endIfDone()
     {
         if (m_next == m_arrivals.size() && m_waiting == 0) {
+            // A poll that is due already runs when the figures are read, in spite of the cancel.
+            m_ended = true;
             m_pollTimer.cancel();
             m_context.stop();
         }
@@ -225,7 +227,7 @@
 
     void poll()
     {
-        if (m_options.m_balancerPoll.count() == 0) {
+        if (m_options.m_balancerPoll.count() == 0 || m_ended) {
             return;
         }
         for (std::size_t node = 0; node < m_pools.size(); ++node) {
@@ -271,6 +273,7 @@
     std::size_t m_next = 0;
     std::size_t m_waiting = 0;
     std::size_t m_turn = 0;
+    bool m_ended = false; //!< All requests are sent and answered.
     LoadResult m_result;
 };
 
--- a/tools/arbutusgrade-load/tests/loadtest.cpp
+++ b/tools/arbutusgrade-load/tests/loadtest.cpp
@@ -128,6 +128,30 @@
     }
 }
 
+// Guards against a run that never ends, because a poll that was due at the end polls on and on.
+TEST(RunLoad, EndsAlthoughAPollIsDueAtTheEnd)
+{
+    boost::asio::io_context context(1);
+    standins::HttpServer server(
+        context, [](const standins::HttpRequest &, const standins::Responder &responder) {
+            responder(standins::HttpResponse{200, "{}"});
+        });
+    LoadOptions options;
+    options.m_nodes = {NodeAddress{"127.0.0.1", server.listen(0)}};
+    options.m_mix = {KindLoad{"search", 1, ""}};
+    options.m_rate = 1000;
+    options.m_arrivals = Arrivals::Fixed;
+    options.m_length = std::chrono::milliseconds(20);
+    options.m_balancerPoll = Duration(50);
+    std::thread thread([&context] { context.run(); });
+    constexpr int runs = 20; // A poll is due at the end of only some of them.
+    for (int run = 0; run < runs; ++run) {
+        EXPECT_EQ(runLoad(options).m_samples.size(), 19U);
+    }
+    context.stop();
+    thread.join();
+}
+
 // Guards against a bound that passes because its figure is missing or its sign is misread.
 TEST(CheckBounds, BrokenAndMissingFiguresFail)
 {
