Hand out each port of the tests once, also to tests that run beside each other

Cause of 'cannot bind UDP 127.0.0.1:11003: Address already in use' (1 of 30 parallel runs of node-failure-test): freePorts tells what is free at the moment; a port is free while its node restarts, so a test beside it got it. A port is now reserved until its process ends.

--- a/tests/standinstest.cpp
+++ b/tests/standinstest.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -189,6 +190,20 @@
     EXPECT_FALSE(platform.m_process.running());
 }
 
+// Guards against two tests that run beside each other with one port, of which the second finds it
+// in use when it restarts a node.
+TEST(FreePorts, PortIsHandedOutOnce)
+{
+    constexpr std::size_t sites = 30;
+    constexpr std::size_t portsForEach = 20;
+    std::set<std::uint16_t> ports;
+    for (std::size_t site = 0; site < sites; ++site) {
+        const std::vector<std::uint16_t> taken = freePorts(portsForEach);
+        ports.insert(taken.begin(), taken.end());
+    }
+    EXPECT_EQ(ports.size(), sites * portsForEach);
+}
+
 // Guards against plans whose settings a daemon would refuse.
 TEST(Site, SettingsOfAllPlansAreAccepted)
 {
--- a/tests/support/include/support/process.h
+++ b/tests/support/include/support/process.h
@@ -81,7 +81,8 @@
 //! @brief Sleeps between two looks at a condition.
 void pauseBetweenLooks();
 
-//! @brief Ports on 127.0.0.1 that were free for TCP and UDP a moment ago.
+//! @brief Ports on 127.0.0.1 that were free for TCP and UDP a moment ago. No process that uses this
+//! function gets them before this one ends.
 std::vector<std::uint16_t> freePorts(std::size_t count);
 
 //! @brief Content of a file; empty if it cannot be read.
--- a/tests/support/src/process.cpp
+++ b/tests/support/src/process.cpp
@@ -21,6 +21,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/local/datagram_protocol.hpp>
 
 extern char **environ;
 
@@ -52,6 +53,25 @@
     return !error;
 }
 
+//! @brief Takes a port until the end of this process, so that no test beside it gets the port while
+//! a node of this one restarts. Returns false if another process, or this one, has it already.
+bool reservePort(std::uint16_t port)
+{
+    // A socket of the abstract name space goes with its process, also when that is killed.
+    static boost::asio::io_context context;
+    static std::vector<boost::asio::local::datagram_protocol::socket> reservations;
+    const std::string name = std::string(1, '\0') + "arbutusgrade-port-" + std::to_string(port);
+    boost::asio::local::datagram_protocol::socket socket(context,
+                                                         boost::asio::local::datagram_protocol());
+    boost::system::error_code error;
+    socket.bind(boost::asio::local::datagram_protocol::endpoint(name), error);
+    if (error) {
+        return false;
+    }
+    reservations.push_back(std::move(socket));
+    return true;
+}
+
 } // namespace
 
 TemporaryDirectory::TemporaryDirectory()
@@ -208,7 +228,7 @@
     std::set<std::uint16_t> found;
     while (found.size() < count) {
         const std::uint16_t port = static_cast<std::uint16_t>(lowestPort + device() % portRange);
-        if (portIsFree(port)) {
+        if (reservePort(port) && portIsFree(port)) {
             found.insert(port);
         }
     }
