Send a lost request of a load run to another node

Cause of 'answered 322 of 323' in store-failure-test (sanitizers, beside four other tests): after the kill, the sends in flight came back at once, and some of them met the killed node again in each of their three sends, since nodes are taken in turn over all requests until the next poll of readiness. The option says 'sends to other nodes'. Ruled out: the node's answer (the sends had no connection).

--- a/tools/arbutusgrade-load/loadrun.cpp
+++ b/tools/arbutusgrade-load/loadrun.cpp
@@ -2,6 +2,7 @@
 #include <charconv>
 #include <cmath>
 #include <memory>
+#include <optional>
 #include <set>
 #include <thread>
 #include <utility>
@@ -72,6 +73,7 @@
     std::size_t m_kind = 0;
     std::string m_id;
     steady_clock::time_point m_intended;
+    std::optional<std::size_t> m_lostAt; //!< Node whose connection gave no answer to the last send.
     Sample m_sample;
 };
 
@@ -157,16 +159,18 @@
         const std::string head = json::serialize(body);
         const std::string text =
             head.substr(0, head.size() - 1) + ",\"payload\":" + m_options.m_payload + "}";
-        m_pools[chooseNode()]->call("POST", "/v1/query", text, m_options.m_timeout,
-                                    [this, request](unsigned status, const std::string &answer) {
-                                        if (status == 0
-                                            && request->m_sample.m_sends <= m_options.m_resends) {
-                                            ++request->m_sample.m_sends;
-                                            send(request);
-                                            return;
-                                        }
-                                        finish(*request, status, answer);
-                                    });
+        const std::size_t node = chooseNode(request->m_lostAt);
+        m_pools[node]->call("POST", "/v1/query", text, m_options.m_timeout,
+                            [this, request, node](unsigned status, const std::string &answer) {
+                                if (status == 0
+                                    && request->m_sample.m_sends <= m_options.m_resends) {
+                                    request->m_lostAt = node;
+                                    ++request->m_sample.m_sends;
+                                    send(request);
+                                    return;
+                                }
+                                finish(*request, status, answer);
+                            });
     }
 
     void finish(Request &request, unsigned status, const std::string &answer)
@@ -213,12 +217,13 @@
         return m_options.m_mix.size() - 1;
     }
 
-    //! The next ready node in turn; if none is ready, the next one, which then refuses.
-    std::size_t chooseNode()
+    //! The next ready node in turn, other than the one that lost the last send; if there is none,
+    //! the next one, which then refuses.
+    std::size_t chooseNode(std::optional<std::size_t> lostAt)
     {
         for (std::size_t tries = 0; tries < m_pools.size(); ++tries) {
             const std::size_t node = m_turn++ % m_pools.size();
-            if (m_ready[node]) {
+            if (m_ready[node] && node != lostAt) {
                 return node;
             }
         }
--- a/tools/arbutusgrade-load/tests/loadtest.cpp
+++ b/tools/arbutusgrade-load/tests/loadtest.cpp
@@ -128,6 +128,35 @@
     }
 }
 
+// Guards against a second send to the node that has just lost the first one, which counts an order
+// as unanswered although another node would have answered it.
+TEST(RunLoad, SecondSendGoesToAnotherNode)
+{
+    boost::asio::io_context context(1);
+    standins::HttpServer server(
+        context, [](const standins::HttpRequest &, const standins::Responder &responder) {
+            responder(standins::HttpResponse{503, R"({"outcome":"not-run"})"});
+        });
+    LoadOptions options;
+    constexpr std::uint16_t closedPort = 9; // The discard service, which nothing serves here.
+    options.m_nodes = {NodeAddress{"127.0.0.1", closedPort},
+                       NodeAddress{"127.0.0.1", server.listen(0)}};
+    options.m_mix = {KindLoad{"order", 1, ""}};
+    options.m_rate = 20'000;
+    options.m_arrivals = Arrivals::Fixed;
+    options.m_length = std::chrono::milliseconds(20);
+    options.m_balancerPoll = Duration(0);
+    options.m_resends = 1;
+    std::thread thread([&context] { context.run(); });
+    const LoadResult result = runLoad(options);
+    context.stop();
+    thread.join();
+    EXPECT_EQ(result.m_samples.size(), 399U);
+    for (const Sample &sample : result.m_samples) {
+        EXPECT_NE(sample.m_outcome, "no-answer") << sample.m_id;
+    }
+}
+
 // Guards against a run that never ends, because a poll that was due at the end polls on and on.
 TEST(RunLoad, EndsAlthoughAPollIsDueAtTheEnd)
 {
