--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -102,6 +102,14 @@
     return candidates;
 }
 
+//! @brief True if something is left to tell that does not wait for the next probe.
+bool hasUrgentNews(const MembershipCore &core)
+{
+    const std::vector<Candidate> candidates = findCandidates(core);
+    return core.m_selfTransmits > 0
+           || (!candidates.empty() && candidates.front().m_urgency > Urgency::Usual);
+}
+
 //! @brief What is told of a member; its place only where this incarnation is new to many.
 MemberUpdate updateToTell(const Member &member)
 {
@@ -154,6 +162,7 @@
 {
     room += reserve;
     addForReceiver(core, receiver, message, room);
+    // The most urgent candidates come first, so the reserve ends with the first usual one.
     bool inReserve = true;
     for (const Candidate &candidate : findCandidates(core)) {
         if (inReserve && candidate.m_urgency < Urgency::Draining) {
@@ -360,11 +369,7 @@
     --core.m_repeatsLeft;
     core.m_nextRepeat = now + pushRepeatInterval;
     refillTokens(core, now);
-    const std::vector<Candidate> candidates = findCandidates(core);
-    const bool isNewsLeft =
-        core.m_selfTransmits > 0
-        || (!candidates.empty() && candidates.front().m_urgency > Urgency::Usual);
-    if (isNewsLeft && core.m_tokens >= pushReserveBytes) {
+    if (hasUrgentNews(core) && core.m_tokens >= pushReserveBytes) {
         sendPushes(core, now, actions);
     }
 }
