--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -2,11 +2,9 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -18,6 +16,7 @@
 
 #include "gatewaynode/gatewaynode.h"
 #include "platform/platform.h"
+#include "textfile/textfile.h"
 
 ABSL_FLAG(std::string, settings, "",
           "settings file (YAML); by default the one that the environment names");
@@ -35,17 +34,6 @@
     "SIGTERM ends it gracefully, SIGHUP makes it read its settings again. Exit codes: 0 after\n"
     "SIGTERM, 1 if it cannot start, 2 for usage errors or findings in the settings.";
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    const std::ifstream file(path);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::string settingsPath()
 {
     const std::string flag = absl::GetFlag(FLAGS_settings);
@@ -56,7 +44,7 @@
 //! @brief Reads the settings; findings go to standard error.
 std::optional<arbutusgrade::GatewaySettings> readSettings(const std::string &path)
 {
-    const std::optional<std::string> text = readFile(path);
+    const std::optional<std::string> text = arbutusgrade::readTextFile(path);
     if (!text) {
         std::cerr << "cannot read the settings file '" << path << "'; name one with --settings\n";
         return std::nullopt;
--- a/tools/arbutusgradectl/filecommands.cpp
+++ b/tools/arbutusgradectl/filecommands.cpp
@@ -1,13 +1,12 @@
 #include "commands.h"
 
-#include <filesystem>
-#include <fstream>
 #include <ostream>
 #include <set>
-#include <sstream>
 
 #include <boost/json.hpp>
 
+#include "textfile/textfile.h"
+
 namespace arbutusgrade::control {
 
 namespace {
@@ -16,16 +15,11 @@
 
 std::optional<std::string> readFile(const std::string &name, const CommandOutput &output)
 {
-    std::ifstream file(name, std::ios::binary);
-    std::error_code ignored;
-    // A directory can be opened, but reads as an empty file.
-    if (!file.is_open() || std::filesystem::is_directory(name, ignored)) {
+    std::optional<std::string> text = readTextFile(name);
+    if (!text) {
         output.m_error << "arbutusgradectl: cannot read " << name << "\n";
-        return std::nullopt;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return text;
 }
 
 //! Findings of the base come again with each overlay.
--- a/tools/arbutusgradectl/main.cpp
+++ b/tools/arbutusgradectl/main.cpp
@@ -2,10 +2,8 @@
 #include <cstdint>
 #include <cstdlib>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -14,6 +12,7 @@
 #include <absl/flags/reflection.h>
 
 #include "commands.h"
+#include "textfile/textfile.h"
 #include "usage.h"
 
 ABSL_FLAG(std::vector<std::string>, nodes, {},
@@ -142,13 +141,11 @@
 
 std::string readWholeFile(const std::string &name)
 {
-    std::ifstream file(name, std::ios::binary);
-    if (!file.is_open()) {
+    std::optional<std::string> text = arbutusgrade::readTextFile(name);
+    if (!text) {
         throw UsageError("cannot read " + name);
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return std::move(*text);
 }
 
 std::vector<Endpoint> nodesFromFlags()
--- a/tools/arbutusgraded/main.cpp
+++ b/tools/arbutusgraded/main.cpp
@@ -3,12 +3,10 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <optional>
 #include <random>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -20,6 +18,7 @@
 
 #include "cluster/cluster.h"
 #include "node/node.h"
+#include "textfile/textfile.h"
 
 ABSL_FLAG(std::string, base, "", "settings file that the whole firm shares (YAML)");
 ABSL_FLAG(std::string, overlay, "", "settings file of this site; optional");
@@ -38,24 +37,14 @@
     "SIGTERM ends it gracefully. Exit codes: 0 after SIGTERM, 1 if it cannot start, 2 for usage\n"
     "errors or findings in the settings.";
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    const std::ifstream file(path);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 //! @brief Reads the files into the options: their texts and the settings that they give.
 bool readSettings(const std::string &basePath, const std::string &overlayPath,
                   arbutusgrade::ClusterOptions &options)
 {
-    const std::optional<std::string> base = readFile(basePath);
-    const std::optional<std::string> overlay =
-        overlayPath.empty() ? std::optional<std::string>("") : readFile(overlayPath);
+    const std::optional<std::string> base = arbutusgrade::readTextFile(basePath);
+    const std::optional<std::string> overlay = overlayPath.empty()
+                                                   ? std::optional<std::string>("")
+                                                   : arbutusgrade::readTextFile(overlayPath);
     if (!base || !overlay) {
         std::cerr << "cannot read " << (base ? overlayPath : basePath) << '\n';
         return false;
