--- a/libs/settings/src/names.cpp
+++ b/libs/settings/src/names.cpp
@@ -52,12 +52,14 @@
 void declareName(NameTable &table, NameKind kind, const std::string &name, const Place &place,
                  FindingList &findings)
 {
-    const auto [declared, isNew] = table.m_declared.emplace(std::pair{kind, name}, place);
-    if (!isNew) {
+    const auto declared = table.m_declared.find({kind, name});
+    if (declared != table.m_declared.end()) {
         addFinding(findings, place,
                    std::string(kindText(kind)) + " " + quote(name) + " is used twice, first at "
                        + formatPlace(findings, declared->second));
+        return;
     }
+    table.m_declared.emplace(std::pair{kind, name}, place);
 }
 
 void referToName(NameTable &table, NameReference reference)
--- a/libs/targets/src/fingerprints.cpp
+++ b/libs/targets/src/fingerprints.cpp
@@ -85,8 +85,7 @@
         }
         found->second.m_lostTargets = 0;
     }
-    const auto inserted = table.m_cleared.try_emplace(fingerprint, table.m_clearings);
-    if (!inserted.second) {
+    if (!table.m_cleared.try_emplace(fingerprint, table.m_clearings).second) {
         return;
     }
     table.m_clearedOrder.emplace_back(fingerprint, table.m_clearings);
