Ask for the count of nodes instead of being told it as well

The registration told its count by a callback, and the node asked for it each 250 ms besides. The callback is gone; tick and the handler of changes share one refresh, which asks. The test keeps its figures (20, 20, 1); gatewaynode-test passes.

--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -22,7 +22,7 @@
     Membership(boost::asio::io_context &context, MetadataStore &store, std::string prefix,
                std::string node, std::chrono::milliseconds minimumLease);
 
-    void start(std::function<void(int nodes)> changed);
+    void start();
     void stop();
 
     //! @brief Takes a complete reading of the store; other keys are left alone.
@@ -43,7 +43,6 @@
     void writeKey();
     void keepLease();
     void keepLater(std::chrono::milliseconds delay);
-    void noteCount();
     void rememberCount(std::size_t nodes);
 
     struct PastCount
@@ -58,7 +57,6 @@
     std::string m_node;
     std::chrono::milliseconds m_timeToLive;
     boost::asio::steady_timer m_timer;
-    std::function<void(int nodes)> m_changed;
     std::string m_lease;
     std::set<std::string> m_present;
     std::deque<PastCount> m_past; //!< Higher counts that still hold, greatest first.
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -33,6 +33,7 @@
     void submit(const HttpRequest &request, const HttpResponder &responder);
     void attemptEnded(std::uint64_t attempt, ForwardEnd end, const ReplyContent &content);
     void knowledgeChanged();
+    void refresh(TimePoint now);
     void armTimer();
     void tick();
     void noteSuspension(TimePoint now);
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -137,7 +137,7 @@
     if (!problem.empty()) {
         return problem;
     }
-    m_membership->start([this](int nodes) { m_engine.setNodeCount(nodes); });
+    m_membership->start();
     m_sync.start([this] { knowledgeChanged(); });
     tick();
     return {};
@@ -242,7 +242,13 @@
     if (m_engine.routing()) {
         m_callers.setOptions(callerOptions(m_engine.routing()->m_limits));
     }
-    m_engine.registryChanged(bootTimeNow());
+    refresh(bootTimeNow());
+}
+
+void GatewayNode::Implementation::refresh(TimePoint now)
+{
+    m_engine.setNodeCount(m_membership->nodeCount(now));
+    m_engine.registryChanged(now);
     logReadiness();
     armTimer();
 }
@@ -270,12 +276,9 @@
     const TimePoint now = bootTimeNow();
     noteSuspension(now);
     m_engine.advance(now);
-    m_engine.registryChanged(now);
-    logReadiness();
-    m_engine.setNodeCount(m_membership->nodeCount(now));
+    refresh(now);
     m_decisions.reportDropped(now);
     m_log.flush();
-    armTimer();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](error_code error) {
         if (!error) {
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -25,11 +25,9 @@
 {
 }
 
-void Membership::start(std::function<void(int nodes)> changed)
+void Membership::start()
 {
-    m_changed = std::move(changed);
     m_past.push_back(PastCount{bootTimeNow() + countMemory, assumedNodes});
-    m_changed(assumedNodes);
     createLease();
 }
 
@@ -121,7 +119,6 @@
     if (m_present.size() < before) {
         rememberCount(before);
     }
-    noteCount();
 }
 
 void Membership::takeChanges(const std::vector<MetadataEvent> &events)
@@ -147,7 +144,6 @@
         m_lease.clear();
         keepLater(std::chrono::milliseconds(0));
     }
-    noteCount();
 }
 
 void Membership::rememberCount(std::size_t nodes)
@@ -159,9 +155,4 @@
     m_past.push_back(past);
 }
 
-void Membership::noteCount()
-{
-    m_changed(nodeCount(bootTimeNow()));
-}
-
 } // namespace arbutusgrade
--- a/libs/gatewaynode/tests/membershiptest.cpp
+++ b/libs/gatewaynode/tests/membershiptest.cpp
@@ -27,16 +27,15 @@
     FakeStore store;
     const std::shared_ptr<Membership> membership =
         std::make_shared<Membership>(context, store, "own/nodes/", "n0", 1s);
-    int nodes = 0;
-    membership->start([&nodes](int count) { nodes = count; });
+    membership->start();
     membership->takeSnapshot(registrations(20));
-    EXPECT_EQ(nodes, 20);
+    EXPECT_EQ(membership->nodeCount(bootTimeNow()), 20);
     std::vector<MetadataEvent> removals;
     for (int node = 1; node < 20; ++node) {
         removals.push_back(MetadataEvent{{"own/nodes/n" + std::to_string(node), "", 2}, true});
     }
     membership->takeChanges(removals);
-    EXPECT_EQ(nodes, 20);
+    EXPECT_EQ(membership->nodeCount(bootTimeNow()), 20);
     EXPECT_EQ(membership->nodeCount(bootTimeNow() + 60s), 1);
 }
 
@@ -47,7 +46,7 @@
     FakeStore store;
     const std::shared_ptr<Membership> membership =
         std::make_shared<Membership>(context, store, "own/nodes/", "n0", 1s);
-    membership->start([](int /*count*/) {});
+    membership->start();
     EXPECT_EQ(store.m_leases, 1);
     membership->takeSnapshot(registrations(3));
     membership->takeChanges({MetadataEvent{{"own/nodes/n0", "", 2}, true}});
