Mark an error of the target with a flag instead of its log text

A reply that may go to the caller was recognised by comparing the reason that is written to the log; changing that word would have lost the reply. No change of behaviour; forwarding-test passes.

--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -28,7 +28,8 @@
 {
     Verdict m_verdict = Verdict::Failed;
     std::string_view m_reason;
-    bool m_foreign = false; //!< The reply belongs to another request.
+    bool m_foreign = false;     //!< The reply belongs to another request.
+    bool m_targetError = false; //!< The reply is an error of the target; the caller may get it.
 };
 
 Judgement judge(ForwardEnd end, const TargetReply &reply, std::string_view requestId)
@@ -55,7 +56,7 @@
         return {Verdict::NotRun, "refused-by-target"};
     }
     if (!isSuccess(reply.m_status)) {
-        return {Verdict::Failed, "target-error"};
+        return {Verdict::Failed, "target-error", false, true};
     }
     if (reply.m_receipt.empty()) {
         return {Verdict::Failed, "no-receipt"};
@@ -132,7 +133,7 @@
             const bool ran = judgement.m_verdict == Verdict::Failed;
             part.m_mayHaveRun -= ran ? 0 : 1;
             part.m_arrivals -= judgement.m_verdict == Verdict::NotArrived ? 1 : 0;
-            if (judgement.m_reason == "target-error") {
+            if (judgement.m_targetError) {
                 part.m_reply = std::move(reply);
                 part.m_hasFailureReply = true;
             }
