Decide in forwarding which configuration can be taken

A configuration with such a route is ignored and logged as before. New test ReportsRoutesThatNameNoService; forwarding-test, gatewaynode-test and platform-test pass.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -64,6 +64,9 @@
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
 
+//! @brief What is wrong with a table that was read; empty if it can be taken.
+std::vector<Finding> checkRouting(const RoutingTable &table);
+
 //! @brief Returns the route of the host with the longest prefix of the path, or null.
 const Route *findRoute(const RoutingTable &table, std::string_view host, std::string_view path);
 
--- a/libs/forwarding/src/routingtable.cpp
+++ b/libs/forwarding/src/routingtable.cpp
@@ -2,6 +2,18 @@
 
 namespace arbutusgrade {
 
+std::vector<Finding> checkRouting(const RoutingTable &table)
+{
+    std::vector<Finding> findings;
+    for (const Route &route : table.m_routes) {
+        if (route.m_shards.empty() && route.m_services.empty()) {
+            Finding &finding = findings.emplace_back();
+            finding.m_message = "the route " + route.m_name + " names no service";
+        }
+    }
+    return findings;
+}
+
 const Route *findRoute(const RoutingTable &table, std::string_view host, std::string_view path)
 {
     const Route *best = nullptr;
--- a/libs/forwarding/tests/routingtest.cpp
+++ b/libs/forwarding/tests/routingtest.cpp
@@ -18,6 +18,19 @@
 
 } // namespace
 
+// Guards against a configuration in force with a route that can serve no request.
+TEST(Routing, ReportsRoutesThatNameNoService)
+{
+    RoutingTable table;
+    table.m_routes = {routeOf("a", "/x/"), routeOf("a", "/y/"), routeOf("a", "/z/")};
+    table.m_routes[0].m_services = {WeightedService{"s", 1.0}};
+    table.m_routes[1].m_shards = {"s"};
+    table.m_routes[2].m_name = "empty";
+    const std::vector<Finding> findings = checkRouting(table);
+    ASSERT_EQ(findings.size(), 1U);
+    EXPECT_EQ(findings.front().m_message, "the route empty names no service");
+}
+
 // Guards against requests that go to the service of a shorter prefix or of another host.
 TEST(Routing, TakesTheLongestPrefixOfTheHost)
 {
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -85,8 +85,9 @@
         return;
     }
     Checked<RoutingTable> table = m_format.m_decodeRouting(item.m_value);
-    if (!table) {
-        logFindings("configuration-unreadable", item.m_key, table.error());
+    const std::vector<Finding> findings = table ? checkRouting(table.value()) : table.error();
+    if (!findings.empty()) {
+        logFindings("configuration-unreadable", item.m_key, findings);
         return;
     }
     const std::uint64_t version = table.value().m_version;
