Let the timers of the stall test end with their context

The optimised build did not notice. Each timer now lives in its own handler. load-test with sanitizers: failed before, 8 of 8 in three runs after.

--- a/tools/arbutusgrade-load/tests/loadtest.cpp
+++ b/tools/arbutusgrade-load/tests/loadtest.cpp
@@ -130,15 +130,16 @@
 {
     const std::chrono::steady_clock::time_point end =
         std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
-    std::vector<std::unique_ptr<boost::asio::steady_timer>> timers;
     AnsweringNode node(
         [&](const standins::HttpRequest &request, const standins::Responder &responder) {
             if (request.m_method == "GET") {
                 responder(standins::HttpResponse{200, "{}"});
                 return;
             }
-            timers.push_back(std::make_unique<boost::asio::steady_timer>(node.m_context, end));
-            timers.back()->async_wait([responder](boost::system::error_code) {
+            // The timer lives in its handler, so it ends before the context does.
+            const std::shared_ptr<boost::asio::steady_timer> timer =
+                std::make_shared<boost::asio::steady_timer>(node.m_context, end);
+            timer->async_wait([timer, responder](boost::system::error_code) {
                 responder(standins::HttpResponse{503, R"({"outcome":"not-run"})"});
             });
         });
