Time answers by the measured round trip to the caller

Cause: a partial answer to a search left 4 ms and a thirtieth of the latency target before the target, counted from the arrival of the request. Ruled out: a longer constant, which fits one distance only.

HttpServer and CallerRequests tests for the reading and the default.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -253,6 +253,33 @@
 //! Duplicates are kept. An incomplete record at the end of a part is ignored.
 std::string mergeRecords(std::span<const std::string_view> parts, std::size_t count);
 
+// Answer times -----------------------------------------------------------------------------------
+
+//! @brief Network path between a caller and this node.
+struct CallerPath
+{
+    Duration m_roundTrip{0};
+    bool m_newConnection = false; //!< The caller opened the connection for this request.
+};
+
+//! @brief Latest times for sending an answer, counted from the arrival of the request.
+struct AnswerSchedule
+{
+    Duration m_deadline{0};      //!< The caller still receives the answer.
+    Duration m_partialAnswer{0}; //!< A search reaches the caller within the latency target. Zero or
+                                 //!< negative if this is no longer possible.
+    Duration m_refusal{0};       //!< The caller still has time to try another node.
+};
+
+//! @brief Computes the latest answer times from the path to the caller.
+//!
+//! The latency target counts from the caller's first attempt, so it includes the handshake of a new
+//! connection, the way of the request and the way of the answer.
+//! @param timeLeft time until the caller's deadline when it sent the request.
+//! @param elapsedBefore time that the caller spent on earlier attempts.
+AnswerSchedule scheduleAnswers(const Route &route, const CallerPath &path, Duration timeLeft,
+                               Duration elapsedBefore);
+
 // Quarantine of crashing requests ----------------------------------------------------------------
 
 //! @brief Counts target crashes by request, to quarantine requests that crash targets.
@@ -293,7 +320,8 @@
     std::string m_head; //!< Request line and headers, except those set for each attempt.
     std::string m_body;
     std::optional<Duration> m_timeLeft; //!< Time until the caller's deadline.
-    std::uint64_t m_fingerprint = 0;    //!< Same value if the request is sent again.
+    CallerPath m_callerPath;
+    std::uint64_t m_fingerprint = 0; //!< Same value if the request is sent again.
 };
 
 using ForwardRequestPointer = std::shared_ptr<const ForwardRequest>;
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -8,18 +8,6 @@
 
 namespace {
 
-// The answer is sent this long before the caller's deadline, so that it arrives in time.
-constexpr Duration answerMargin = 6ms;
-
-// Time to merge and transmit a search response: a fixed part, and the latency target divided by
-// searchAnswerMarginDivisor.
-constexpr Duration searchAnswerMargin = 4ms;
-constexpr int searchAnswerMarginDivisor = 30;
-
-// A request that has not been sent to any target is refused after the latency target divided by
-// this value.
-constexpr int queueTimeoutDivisor = 4;
-
 // A caller with at least this much less time than others on the route is taken to be retrying after
 // a failed attempt at another node. The difference shortens the latency target of its search.
 constexpr Duration repeatedRequestThreshold = 25ms;
@@ -170,7 +158,6 @@
     pending.m_routeLatency = &routeLatency(route);
     pending.m_arrivedAt = now;
     const Duration timeLeft = request->m_timeLeft.value_or(route.m_timeout);
-    pending.m_deadline = now + std::min(timeLeft - answerMargin, route.m_timeout);
     Duration elapsedBefore =
         std::max(Duration::zero(), pending.m_routeLatency->m_maximumTimeLeft - timeLeft);
     pending.m_routeLatency->m_maximumTimeLeft =
@@ -178,9 +165,10 @@
     if (elapsedBefore < repeatedRequestThreshold) {
         elapsedBefore = Duration::zero();
     }
-    const Duration partialAnswerDelay = route.m_latencyTarget - elapsedBefore - searchAnswerMargin
-                                        - route.m_latencyTarget / searchAnswerMarginDivisor;
-    pending.m_partialAnswerAt = now + partialAnswerDelay;
+    const AnswerSchedule schedule =
+        scheduleAnswers(route, request->m_callerPath, timeLeft, elapsedBefore);
+    pending.m_deadline = now + schedule.m_deadline;
+    pending.m_partialAnswerAt = now + schedule.m_partialAnswer;
     if (route.m_shards.empty()) {
         const std::size_t choice =
             selectWeightedService(route.m_services, m_splitCreditsByRoute[route.m_name]);
@@ -204,8 +192,8 @@
     const std::uint64_t id = pending.m_id;
     m_pendingRequests[id] = std::move(owned);
     addTimer(pending.m_deadline, TimerKind::Deadline, id);
-    addTimer(now + route.m_latencyTarget / queueTimeoutDivisor, TimerKind::QueueTimeout, id);
-    if (!route.m_shards.empty() && partialAnswerDelay > Duration::zero()) {
+    addTimer(now + schedule.m_refusal, TimerKind::QueueTimeout, id);
+    if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
     for (std::size_t index = 0; index < pending.m_subrequests.size(); ++index) {
--- a/libs/forwarding/tests/enginefixture.cpp
+++ b/libs/forwarding/tests/enginefixture.cpp
@@ -117,7 +117,8 @@
     m_engine.applyRoutingTable(std::make_shared<const RoutingTable>(m_table));
 }
 
-std::uint64_t EngineTest::submit(std::string_view path, Duration timeLeft)
+std::uint64_t EngineTest::submit(std::string_view path, Duration timeLeft,
+                                 const CallerPath &callerPath)
 {
     const std::shared_ptr<ForwardRequest> request = std::make_shared<ForwardRequest>();
     request->m_caller = ++m_lastCaller;
@@ -126,6 +127,7 @@
     request->m_host = "h.example";
     request->m_path = path;
     request->m_timeLeft = timeLeft;
+    request->m_callerPath = callerPath;
     request->m_fingerprint = stableHash(path);
     m_engine.submit(m_now, request);
     return m_lastCaller;
--- a/libs/forwarding/tests/enginefixture.h
+++ b/libs/forwarding/tests/enginefixture.h
@@ -50,7 +50,8 @@
     void applyTable(std::uint64_t version);
 
     //! @brief Submits a request and returns the id of its exchange.
-    std::uint64_t submit(std::string_view path, Duration timeLeft = std::chrono::seconds(2));
+    std::uint64_t submit(std::string_view path, Duration timeLeft = std::chrono::seconds(2),
+                         const CallerPath &callerPath = {});
 
     //! @brief Ends the attempt of an order with a successful reply.
     void replySuccess(const ForwardCommand &order, std::string_view body = "0123456789abcdef");
--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -116,6 +116,11 @@
 
 } // namespace
 
+CallerPath callerPath(const HttpRequest &request)
+{
+    return CallerPath{request.m_roundTrip.value_or(defaultCallerRoundTrip), request.m_isFirst};
+}
+
 ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers)
 {
     const std::shared_ptr<ForwardRequest> result = std::make_shared<ForwardRequest>();
@@ -157,6 +162,7 @@
         head += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
     }
     result->m_caller = request.m_exchange;
+    result->m_callerPath = callerPath(request);
     result->m_method = request.m_method;
     result->m_path = request.m_path;
     result->m_head = std::move(head);
--- a/libs/gatewaynode/src/details/callerrequests.h
+++ b/libs/gatewaynode/src/details/callerrequests.h
@@ -9,6 +9,13 @@
 
 namespace arbutusgrade {
 
+//! @brief Assumed where the system does not tell the round trip time to a caller. An estimate that
+//! is too high costs a few milliseconds of a search; one that is too low makes its answer late.
+inline constexpr Duration defaultCallerRoundTrip = std::chrono::milliseconds(10);
+
+//! @brief Returns the path to the caller, with the default where the round trip time is not known.
+CallerPath callerPath(const HttpRequest &request);
+
 //! @brief Result of parsing a caller's request: the request to forward, or a parse error.
 struct ParsedCallerRequest
 {
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -31,6 +31,7 @@
     std::string start();
     std::string listen(HttpServer &server, const std::string &address, std::uint16_t port);
     void submit(const HttpRequest &request, const HttpResponder &responder);
+    void recordCallerPath(const HttpRequest &request);
     void attemptEnded(std::uint64_t attempt, ForwardEnd end, const ReplyContent &content);
     void storeStateChanged();
     void updateEngine(TimePoint now);
@@ -59,6 +60,7 @@
     StoreSync m_storeSync;
     DecisionLog m_decisionLog;
     LatencyMetric m_latency;
+    LatencyMetric m_callerRoundTrip;
 
     struct PendingExchange
     {
@@ -77,6 +79,7 @@
     std::function<void()> m_shutdownFinished;
     bool m_shuttingDown = false;
     bool m_loggedReady = false;
+    bool m_loggedRoundTripUnknown = false;
 };
 
 } // namespace arbutusgrade
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -103,6 +103,8 @@
       m_storeSync(context, m_format, store, watcherOptions(settings), settings.m_node, m_engine,
                   *m_membership, log),
       m_decisionLog(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
+      m_callerRoundTrip("arbutusgrade_caller_round_trip_seconds",
+                        "Round trip time to callers, for each connection", "source"),
       m_engineTimer(context), m_tickTimer(context), m_shutdownTimer(context),
       m_lastBootTime(bootTimeNow()), m_lastSteadyTime(steadyNow())
 {
@@ -169,12 +171,27 @@
         responder(errorResponse(400, parsed.m_error));
         return;
     }
+    recordCallerPath(request);
     const TimePoint now = bootTimeNow();
     m_pendingExchanges[request.m_exchange] = PendingExchange{responder, now};
     m_engine.submit(now, parsed.m_request);
     armEngineTimer();
 }
 
+void GatewayNode::Implementation::recordCallerPath(const HttpRequest &request)
+{
+    if (request.m_isFirst) {
+        m_callerRoundTrip.observe(request.m_roundTrip ? "measured" : "default",
+                                  callerPath(request).m_roundTrip);
+    }
+    if (!request.m_roundTrip && !m_loggedRoundTripUnknown) {
+        m_loggedRoundTripUnknown = true;
+        m_log.write(LogLevel::Warning, "caller-round-trip-unknown",
+                    "the system does not tell the round trip time to a caller; a default is used",
+                    {{"milliseconds", defaultCallerRoundTrip.count() / 1000}});
+    }
+}
+
 void GatewayNode::Implementation::send(const ForwardCommand &order)
 {
     const TargetEntry &entry = order.m_target->m_entry;
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -50,6 +50,7 @@
              m_engine.routing() ? static_cast<double>(m_engine.routing()->m_version) : 0.0);
     addGauge(families, "arbutusgrade_ready", "1 if the node takes requests", isReady() ? 1.0 : 0.0);
     m_latency.collect(families);
+    m_callerRoundTrip.collect(families);
     return families;
 }
 
--- a/libs/gatewaynode/tests/callerrequeststest.cpp
+++ b/libs/gatewaynode/tests/callerrequeststest.cpp
@@ -50,6 +50,23 @@
     EXPECT_EQ(parsed.m_request->m_requestId, "7");
 }
 
+// Guards against a caller that counts as near, or as infinitely far away, because its round trip
+// time is not known.
+TEST(CallerRequests, UsesTheDefaultWhereTheRoundTripIsNotKnown)
+{
+    HttpRequest request = makeRequest({{"Host", "a"}, {"X-Id", "1"}});
+    request.m_isFirst = true;
+    ForwardRequestPointer parsed = parseCallerRequest(request, testHeaders()).m_request;
+    ASSERT_NE(parsed, nullptr);
+    EXPECT_EQ(parsed->m_callerPath.m_roundTrip, defaultCallerRoundTrip);
+    EXPECT_TRUE(parsed->m_callerPath.m_newConnection);
+    request.m_roundTrip = 300us;
+    request.m_isFirst = false;
+    parsed = parseCallerRequest(request, testHeaders()).m_request;
+    EXPECT_EQ(parsed->m_callerPath.m_roundTrip, Duration(300us));
+    EXPECT_FALSE(parsed->m_callerPath.m_newConnection);
+}
+
 // Guards against request smuggling: requests that the gateway and a target may interpret
 // differently, such as one with two Host headers.
 TEST(CallerRequests, RejectsAmbiguousRequests)
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -50,6 +50,9 @@
     HttpHeaders m_headers;
     std::string m_body;
     std::uint64_t m_exchange = 0; //!< Names the exchange to the disconnect handler; never reused.
+    //! Of the connection, measured by the system during its handshake; empty if it is not known.
+    std::optional<Duration> m_roundTrip;
+    bool m_isFirst = false; //!< The first request on its connection.
 
     //! @brief Value of a header, compared without regard to case; empty if it is absent.
     std::string_view header(std::string_view name) const;
--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -99,6 +99,8 @@
     Phase m_phase = Phase::Idle;
     TimePoint m_deadline = farFuture;
     std::uint64_t m_requestNumber = 0;
+    //! Measured during the handshake: later measurements include delayed acknowledgements.
+    std::optional<Duration> m_roundTrip;
     std::size_t m_drainedBytes = 0;
     bool m_timedOut = false;
     bool m_keepAlive = false;
--- a/libs/transport/src/details/socketoptions.h
+++ b/libs/transport/src/details/socketoptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -10,4 +11,7 @@
 //! idle, so that a silent peer is noticed. Zero leaves it to the system.
 void setPeerTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout);
 
+//! @brief Smoothed round trip time of a connection. Empty if the system has no measurement.
+std::optional<std::chrono::microseconds> roundTrip(boost::asio::ip::tcp::socket &socket);
+
 } // namespace arbutusgrade::details
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -61,6 +61,7 @@
     if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
         details::setPeerTimeout(m_socket, state->m_options.m_peerTimeout);
     }
+    m_roundTrip = details::roundTrip(m_socket);
     waitForRequest();
 }
 
@@ -204,6 +205,8 @@
 
     const std::uint64_t exchange = ++state->m_lastExchange;
     m_request.m_exchange = exchange;
+    m_request.m_roundTrip = m_roundTrip;
+    m_request.m_isFirst = m_requestNumber == 0;
     const std::uint64_t number = ++m_requestNumber;
     const HttpResponder responder = [weak = weak_from_this(), number](HttpResponse response) {
         if (const std::shared_ptr<HttpSession> self = weak.lock()) {
--- a/libs/transport/src/socketoptions.cpp
+++ b/libs/transport/src/socketoptions.cpp
@@ -1,6 +1,7 @@
 #include "details/socketoptions.h"
 
 #include <algorithm>
+#include <cstddef>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -35,4 +36,18 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
 }
 
+std::optional<std::chrono::microseconds> roundTrip(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    const int result = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
+    const bool isMeasured = result == 0
+                            && length >= offsetof(tcp_info, tcpi_rtt) + sizeof(info.tcpi_rtt)
+                            && info.tcpi_rtt > 0;
+    if (!isMeasured) {
+        return std::nullopt;
+    }
+    return std::chrono::microseconds(info.tcpi_rtt);
+}
+
 } // namespace arbutusgrade::details
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -66,6 +66,28 @@
     EXPECT_EQ(m_server.statistics().m_accepted, 1U);
 }
 
+// Guards against answers that are timed without the way to the caller, or with the handshake
+// counted for each request of a connection.
+TEST_F(HttpServerTest, TellsTheRoundTripAndTheFirstRequestOfAConnection)
+{
+    std::vector<HttpRequest> requests;
+    m_server.addRoute("GET", "/note",
+                      [&requests](const HttpRequest &request, const HttpResponder &responder) {
+                          requests.push_back(request);
+                          responder(HttpResponse{});
+                      });
+    RawClient client(m_context, m_server.port());
+    const std::string request = "GET /note HTTP/1.1\r\nHost: x\r\n\r\n";
+    client.send(request + request);
+    ASSERT_TRUE(runUntil(m_context, [&] { return requests.size() == 2; }));
+    EXPECT_TRUE(requests[0].m_isFirst);
+    EXPECT_FALSE(requests[1].m_isFirst);
+    ASSERT_TRUE(requests[0].m_roundTrip.has_value());
+    EXPECT_GT(*requests[0].m_roundTrip, Duration::zero());
+    EXPECT_LT(*requests[0].m_roundTrip, Duration(1'000'000));
+    EXPECT_EQ(requests[1].m_roundTrip, requests[0].m_roundTrip);
+}
+
 // Guards against malformed requests that get no answer or take the server down.
 TEST_F(HttpServerTest, AnswersMalformedRequestWith400)
 {
