Wait for the record of an answered request before calling it unknown

Cause, derived from the code and shown by a test: the answer of a claimed request does not wait for the write of its record. A re-send that reaches another daemon before that write found the claim without an outcome and was answered outcome-unknown at once. Ruled out: letting the answer wait for the write, which would add a store call to the time of each order.

Change: a claim of another send is read up to three times more, 100 ms apart and within the deadline, before the answer is outcome-unknown. A deadline that passes meanwhile is outcome-unknown also for a first send, as the claim is held elsewhere; it was not-run by its number.

Tests: Once.ReSendWaitsForTheRecordOfTheFirstSend and DeadlineDuringTheWaitForARecordIsUnknown, both failed before. ForeignClaimsAreNotRun expected the answer at the first reading; it now replies to the readings and checks the same answer, and that nothing was sent.

--- a/libs/claims/include/claims/claims.h
+++ b/libs/claims/include/claims/claims.h
@@ -64,6 +64,7 @@
     Recording,            //!< Writing the outcome.
     Releasing,            //!< Writing that the request did not run.
     ReleasingUnconfirmed, //!< Looking for a claim whose create was never confirmed, to release it.
+    AwaitingOutcome,      //!< Reading the key until the holder has recorded the outcome.
     Ended,
 };
 
@@ -77,6 +78,7 @@
     int m_tries = 0;             //!< Store calls counted against the limit of the current phase.
     //! Last record that was found under the key before the claim was held.
     std::optional<ClaimRecord> m_existingRecord;
+    int m_outcomeReads = 0; //!< Reads since the claim was found to be in progress.
 };
 
 //! @brief Next step of a claim for the code that performs its store calls.
@@ -84,7 +86,7 @@
     None,        //!< No further step; the claim has ended.
     Read,        //!< Read the key and pass the reply to handleClaimReply.
     Write,       //!< Compare-and-swap the value and pass the reply to handleClaimReply.
-    RetryLater,  //!< The store is unavailable; call retryClaim after a delay.
+    RetryLater,  //!< Call retryClaim after a delay.
     Held,        //!< The node may run the request.
     Recorded,    //!< The request has already run; m_existingRecord holds the outcome.
     InProgress,  //!< Another send holds the claim and may have run the request.
@@ -116,6 +118,11 @@
 //! May be called in any phase in which no store call is pending.
 ClaimAction releaseClaim(Claim &claim);
 
+//! @brief Continues after InProgress: the holder answers before it records the outcome, so a
+//! re-send can find a claim whose record is on its way.
+//! @return RetryLater a few times, then InProgress. Nothing was sent in either case.
+ClaimAction awaitClaimOutcome(Claim &claim);
+
 //! @brief Returns the store call to repeat after RetryLater.
 ClaimAction retryClaim(Claim &claim);
 
--- a/libs/claims/src/claims.cpp
+++ b/libs/claims/src/claims.cpp
@@ -10,6 +10,10 @@
 //! Recording and releasing continue in the background after the answer, so more tries are allowed.
 constexpr int finalWriteTryLimit = 12;
 
+//! Reads for the outcome of another send. The holder writes it right after its answer, so more
+//! reads would mostly wait for a request that is still running.
+constexpr int outcomeReadLimit = 3;
+
 bool isOwn(const Claim &claim, const ClaimRecord &record) noexcept
 {
     return record.m_nonce == claim.m_ownRecord.m_nonce && record.m_node == claim.m_ownRecord.m_node
@@ -117,6 +121,15 @@
     return stopAcquiring(claim);
 }
 
+ClaimAction handleOutcomeReply(Claim &claim, StoreStatus status, std::string_view value,
+                               std::int64_t revision)
+{
+    if (status != StoreStatus::Ok) {
+        return endClaim(claim, ClaimStep::InProgress);
+    }
+    return handleExistingRecord(claim, value, revision);
+}
+
 ClaimAction retryOrEnd(Claim &claim)
 {
     ++claim.m_tries;
@@ -184,6 +197,8 @@
         return handleFinalWriteReply(claim, status, value, revision);
     case ClaimPhase::ReleasingUnconfirmed:
         return handleUnconfirmedReply(claim, status, value, revision);
+    case ClaimPhase::AwaitingOutcome:
+        return handleOutcomeReply(claim, status, value, revision);
     case ClaimPhase::New:
     case ClaimPhase::Held:
     case ClaimPhase::Ended:
@@ -215,9 +230,22 @@
         claim.m_phase = ClaimPhase::ReleasingUnconfirmed;
         return makeAction(ClaimStep::RetryLater);
     }
+    if (claim.m_phase == ClaimPhase::AwaitingOutcome) {
+        return endClaim(claim, ClaimStep::None);
+    }
     return makeAction(ClaimStep::None);
 }
 
+ClaimAction awaitClaimOutcome(Claim &claim)
+{
+    ++claim.m_outcomeReads;
+    if (!claim.m_existingRecord || claim.m_outcomeReads > outcomeReadLimit) {
+        return endClaim(claim, ClaimStep::InProgress);
+    }
+    claim.m_phase = ClaimPhase::AwaitingOutcome;
+    return makeAction(ClaimStep::RetryLater);
+}
+
 ClaimAction retryClaim(Claim &claim)
 {
     switch (claim.m_phase) {
@@ -225,6 +253,7 @@
     case ClaimPhase::Releasing:
         return writeRecord(claim, claim.m_revision);
     case ClaimPhase::ReleasingUnconfirmed:
+    case ClaimPhase::AwaitingOutcome:
         return makeAction(ClaimStep::Read);
     case ClaimPhase::New:
     case ClaimPhase::Writing:
--- a/libs/query/src/once.cpp
+++ b/libs/query/src/once.cpp
@@ -8,6 +8,9 @@
 
 constexpr Duration claimRetryDelay = std::chrono::milliseconds(500);
 
+//! Delay before reading a claim of another send again for its outcome.
+constexpr Duration outcomeReadDelay = std::chrono::milliseconds(100);
+
 //! One call creates the claim and one records the outcome.
 constexpr double storeCallsPerClaim = 2.0;
 
@@ -115,6 +118,16 @@
     removeOnceIfSettled(engine, request);
 }
 
+void handleClaimInProgress(QueryEngine &engine, const Event &event, Request &request)
+{
+    const bool mayWait = !request.m_answered && event.m_now + outcomeReadDelay < request.m_deadline;
+    if (mayWait && awaitClaimOutcome(request.m_once->m_claim).m_step == ClaimStep::RetryLater) {
+        startTimer(engine, event.m_now + outcomeReadDelay, TimerKind::ClaimRetry, request.m_key);
+        return;
+    }
+    answerIfUnanswered(engine, event, request, Outcome::OutcomeUnknown, Reason::InProgress);
+}
+
 void performClaimAction(QueryEngine &engine, const Event &event, Request &request,
                         const ClaimAction &action)
 {
@@ -139,7 +152,7 @@
         }
         break;
     case ClaimStep::InProgress:
-        answerIfUnanswered(engine, event, request, Outcome::OutcomeUnknown, Reason::InProgress);
+        handleClaimInProgress(engine, event, request);
         break;
     case ClaimStep::Mismatch:
         answerIfUnanswered(engine, event, request, Outcome::Failed, Reason::RequestIdReused);
@@ -286,14 +299,16 @@
 void refuseOnce(QueryEngine &engine, const Event &event, Request &request, Reason reason)
 {
     const RequestKey key = request.m_key;
-    const bool notRun = request.m_possiblyRun == 0;
+    const bool heldElsewhere =
+        request.m_once && request.m_once->m_claim.m_phase == ClaimPhase::AwaitingOutcome;
+    const bool notRun = request.m_possiblyRun == 0 && !heldElsewhere;
     const bool claimRead = request.m_once && request.m_once->m_claim.m_confirmed;
     const Outcome refused =
         refusalOutcome(request.m_mode, request.m_caller.m_sendNumber, claimRead);
     answerWithoutEntries(engine, event, request, notRun ? refused : Outcome::OutcomeUnknown,
                          reason);
     Request *answered = findRequest(engine, key);
-    if (answered != nullptr && answered->m_once && notRun) {
+    if (answered != nullptr && answered->m_once && (notRun || heldElsewhere)) {
         releaseUnusedClaim(engine, event, *answered);
     }
 }
--- a/libs/query/tests/oncetest.cpp
+++ b/libs/query/tests/oncetest.cpp
@@ -160,6 +160,56 @@
     EXPECT_EQ(violations(harness), 0U);
 }
 
+// Guards against an unknown outcome for a request that is sent to another node right after its
+// answer, while the first node is still writing the record of the outcome.
+TEST(Once, ReSendWaitsForTheRecordOfTheFirstSend)
+{
+    Harness harness(onceSettings());
+    harness.submit("order", "{}", "order-1");
+    ClaimRecord foreign = *decodeClaim(harness.nextStoreCall().m_value);
+    foreign.m_node = "node1";
+    foreign.m_nonce = 77;
+    const CallerId again = harness.submit("order", "{}", "order-1", 2);
+    harness.storeReply(harness.nextStoreCall(), StoreStatus::Conflict, encodeClaim(foreign), 3);
+    EXPECT_EQ(harness.answer(again), nullptr);
+    harness.advance(std::chrono::milliseconds(200));
+    const CallStore read = harness.nextStoreCall();
+    EXPECT_EQ(read.m_operation, StoreOperation::Get);
+    foreign.m_state = ClaimState::Done;
+    foreign.m_outcome = "complete";
+    foreign.m_service = "s0";
+    foreign.m_result = "[\"s0\"]";
+    foreign.m_hasResult = true;
+    harness.storeReply(read, StoreStatus::Ok, encodeClaim(foreign), 4);
+    expectAnswer(harness, again, Outcome::Complete, Reason::None);
+    EXPECT_TRUE(harness.m_attempts.empty());
+    EXPECT_EQ(violations(harness), 0U);
+}
+
+// Guards against `not-run` for a request whose claim another node holds, and against a claim that
+// is never forgotten, when the deadline passes while this node waits for the record.
+TEST(Once, DeadlineDuringTheWaitForARecordIsUnknown)
+{
+    for (const bool replyIsMissing : {true, false}) {
+        Harness harness(onceSettings());
+        const CallerId caller = harness.submit("order", "{}", "order-1");
+        ClaimRecord foreign = *decodeClaim(harness.m_storeCalls.front().m_value);
+        foreign.m_nonce = 77;
+        harness.storeReply(harness.nextStoreCall(), StoreStatus::Conflict, encodeClaim(foreign), 3);
+        harness.advance(std::chrono::milliseconds(200));
+        const CallStore read = harness.nextStoreCall();
+        if (!replyIsMissing) {
+            harness.pause(std::chrono::seconds(3));
+            harness.storeReply(read, StoreStatus::Ok, encodeClaim(foreign), 3);
+        }
+        harness.advance(std::chrono::seconds(3));
+        ASSERT_NE(harness.answer(caller), nullptr);
+        EXPECT_EQ(outcomeName(harness.answer(caller)->m_outcome), "outcome-unknown");
+        EXPECT_TRUE(harness.m_attempts.empty());
+        EXPECT_EQ(violations(harness), 0U);
+    }
+}
+
 // Guards against executing a request whose id is claimed by another node or with another payload.
 TEST(Once, ForeignClaimsAreNotRun)
 {
@@ -171,6 +221,10 @@
     foreign.m_fingerprint = decodeClaim(harness.nextStoreCall().m_value)->m_fingerprint;
     const CallerId same = harness.submit("order", "{}", "y");
     harness.storeReply(harness.nextStoreCall(), StoreStatus::Conflict, encodeClaim(foreign), 3);
+    for (int call = 0; harness.answer(same) == nullptr && call < 4; ++call) {
+        harness.advance(std::chrono::milliseconds(200));
+        harness.storeReply(harness.nextStoreCall(), StoreStatus::Ok, encodeClaim(foreign), 3);
+    }
     expectAnswer(harness, same, Outcome::OutcomeUnknown, Reason::InProgress);
     const CallerId other = harness.submit("order", "{\"other\":1}", "z");
     harness.storeReply(harness.nextStoreCall(), StoreStatus::Conflict, encodeClaim(foreign), 3);
