Spread nodes over equal targets and remember poor ones across rare requests

(2) The statistics of a target decay in 1.5 and 2.5 s, while a node of 58 asks a given shard three times a second and one of 195 once in two seconds: poor targets were forgotten before the next request, and asking them again used up the budget for extra attempts.

Change: each node has an aversion between 0 and 1 to each target, by rendezvous hashing, as a small cost below that of another data centre. Where requests to a service are rare, failure rates last for 25 requests (at most 15 s), and the latency ratio of a target with two slow replies in a row for 15; a single slow reply, as in a pause, is forgotten as before. Nodes with 10 requests/s or more to a service decay as before.

Tests: TargetSelection.NodesSpreadOverEqualTargets, RemembersRejectionsAcrossRareRequests (bound: the budget's fifth of the requests) and RemembersSlowTargetsAcrossRareRequestsButNotASinglePause failed before; PrefersItsOwnDataCentreOverSpreading guards the other side.

The retry of refused work at the budget's limit remains what binds while targets shed load.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -116,9 +116,12 @@
     bool m_removed = false;         //!< No longer in the registry.
     TimePoint m_removalEffectiveAt; //!< For removed targets.
     TimePoint m_warmupEnd;          //!< The target may be slower before this time.
+    double m_aversion = 0.0;        //!< From 0 to 1, by rendezvous hashing; differs between nodes.
     std::vector<OutstandingAttempt> m_inFlight;
     double m_latencyRatio = 1.0; //!< Smoothed ratio of actual to expected latency.
     double m_failureRate = 0.0;  //!< Smoothed fraction of failed attempts.
+    int m_consecutiveSlowReplies = 0;
+    Duration m_requestInterval{0}; //!< Between requests of this node to the target's service.
     TimePoint m_statisticsUpdatedAt;
     TimePoint m_backoffUntil;
     int m_consecutiveConnectFailures = 0; //!< Reset by a successful connection.
@@ -141,6 +144,7 @@
     //! while after its removal, and this node may not notice a short store outage.
     static constexpr Duration removalGracePeriod = std::chrono::seconds(2);
 
+    std::string m_node;                                       //!< Name of this node.
     std::unordered_map<std::string, TargetPointer> m_targets; //!< By id.
     std::unordered_map<std::string, std::vector<TargetPointer>> m_targetsByService;
     bool m_storeUnavailable = false;
@@ -183,11 +187,16 @@
     std::span<const std::string> m_excludedIds; //!< Targets already tried for this request.
     int m_inFlightLimit = 1;                    //!< Of this node, for each target.
     bool m_healthyOnly = false; //!< For hedges: skips targets that are stalled or in backoff.
+    //! Smoothed time between requests of this node to the service; zero if not known. Statistics of
+    //! targets are kept the longer, the fewer requests there are to renew them.
+    Duration m_requestInterval{0};
 };
 
 //! @brief Returns the target with the lowest expected cost, or null if none is eligible.
 //!
-//! Stalled targets get a high cost, so that new requests avoid a target during a pause.
+//! Stalled targets get a high cost, so that new requests avoid a target during a pause. Among
+//! targets that are otherwise equal, each node prefers another one, so that many nodes do not meet
+//! at the same target and its connection limit.
 TargetPointer selectTarget(std::span<const TargetPointer> targets, TimePoint now,
                            const TargetCriteria &criteria);
 
@@ -412,6 +421,7 @@
 //! @brief Settings of the engine.
 struct ForwardOptions
 {
+    std::string m_node;
     std::string m_dataCentre;
     RetryBudgetLimits m_budget;
 };
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -30,6 +30,9 @@
 constexpr int maximumInFlightPerTarget = 16;
 constexpr int defaultConnectionLimit = 16;
 
+// Number of requests over which the interval between requests to a service is smoothed.
+constexpr int intervalSamples = 16;
+
 } // namespace
 
 int ForwardEngine::Implementation::inFlightLimit(const PendingRequest &pending,
@@ -43,6 +46,19 @@
     return std::clamp(limit / m_options.m_budget.m_nodes, 1, maximumInFlightPerTarget);
 }
 
+void ForwardEngine::Implementation::recordRequest(TimePoint now, ServiceState &service) const
+{
+    recordFirstAttempt(service.m_budget, m_options.m_budget, now);
+    if (service.m_lastRequestAt != TimePoint()) {
+        const Duration interval = now - service.m_lastRequestAt;
+        service.m_requestInterval =
+            service.m_requestInterval == Duration::zero()
+                ? interval
+                : (service.m_requestInterval * (intervalSamples - 1) + interval) / intervalSamples;
+    }
+    service.m_lastRequestAt = now;
+}
+
 void ForwardEngine::Implementation::startSubrequest(TimePoint now, PendingRequest &pending,
                                                     std::size_t index)
 {
@@ -71,6 +87,7 @@
     criteria.m_dataCentre = m_options.m_dataCentre;
     criteria.m_excludedIds = subrequest.m_triedTargetIds;
     criteria.m_inFlightLimit = inFlightLimit(pending, *subrequest.m_service);
+    criteria.m_requestInterval = subrequest.m_service->m_requestInterval;
     criteria.m_healthyOnly = reason == AttemptReason::Hedge;
     const TargetPointer target = selectTarget(targets->second, now, criteria);
     if (!target) {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -29,6 +29,8 @@
 {
     std::string m_name;
     RetryBudget m_budget;
+    TimePoint m_lastRequestAt;
+    Duration m_requestInterval{0}; //!< Smoothed time between requests; zero before the second one.
     std::deque<QueuedSubrequest> m_queue; //!< By priority, then by arrival.
 };
 
@@ -113,6 +115,7 @@
     Implementation(const ForwardOptions &options, TimePoint now, ForwardOutput &output)
         : m_options(options), m_startedAt(now), m_output(output)
     {
+        m_registry.m_node = options.m_node;
     }
 
     // Submission and timers (engine.cpp)
@@ -139,6 +142,7 @@
     RouteLatency &routeLatency(const Route &route);
 
     // Attempts (attempts.cpp)
+    void recordRequest(TimePoint now, ServiceState &service) const;
     void startSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
     SendResult sendAttempt(TimePoint now, PendingRequest &pending, std::size_t index,
                            AttemptReason reason);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -197,8 +197,7 @@
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
     for (std::size_t index = 0; index < pending.m_subrequests.size(); ++index) {
-        recordFirstAttempt(pending.m_subrequests[index].m_service->m_budget, m_options.m_budget,
-                           now);
+        recordRequest(now, *pending.m_subrequests[index].m_service);
         startSubrequest(now, pending, index);
     }
 }
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -14,6 +14,17 @@
 constexpr double latencyRatioDecaySeconds = 1.5;
 constexpr double failureRateDecaySeconds = 2.5;
 
+// Where requests are rare, the statistics last for this many requests to the service instead, so
+// that trying poor targets again costs a bounded share of the requests.
+constexpr double latencyRatioDecayRequests = 15.0;
+constexpr double failureRateDecayRequests = 25.0;
+constexpr double maximumDecaySeconds = 15.0;
+
+// A reply with at least this ratio of actual to expected latency is slow. A single slow reply may
+// be due to a pause, which is over before the next request.
+constexpr double slowReplyRatio = 3.0;
+constexpr int slowReplyThreshold = 2;
+
 // Weight of a new sample in the moving averages.
 constexpr double smoothingFactor = 0.25;
 
@@ -35,7 +46,9 @@
 
 // Costs in units of the typical latency of a healthy target.
 constexpr double inFlightCost = 0.35;
-constexpr double otherDataCentreCost = 0.6;
+constexpr double otherDataCentreCost = 0.7;
+// Below otherDataCentreCost, so that spreading the load keeps requests in the data centre.
+constexpr double aversionCost = 0.2;
 constexpr double warmingCost = 0.8;
 constexpr double failureCost = 6.0;
 constexpr double backoffCost = 30.0;
@@ -47,19 +60,34 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
+double decaySeconds(double minimumSeconds, double requests, Duration requestInterval)
+{
+    const double interval = std::chrono::duration<double>(requestInterval).count();
+    return std::clamp(requests * interval, minimumSeconds, maximumDecaySeconds);
+}
+
 void decayStatistics(Target &target, TimePoint now)
 {
     const double elapsed = std::max(0.0, secondsBetween(target.m_statisticsUpdatedAt, now));
+    const bool isSlow = target.m_consecutiveSlowReplies >= slowReplyThreshold;
+    const double latencySeconds =
+        isSlow ? decaySeconds(latencyRatioDecaySeconds, latencyRatioDecayRequests,
+                              target.m_requestInterval)
+               : latencyRatioDecaySeconds;
+    const double failureSeconds =
+        decaySeconds(failureRateDecaySeconds, failureRateDecayRequests, target.m_requestInterval);
     target.m_latencyRatio =
-        1.0 + (target.m_latencyRatio - 1.0) * std::exp(-elapsed / latencyRatioDecaySeconds);
-    target.m_failureRate *= std::exp(-elapsed / failureRateDecaySeconds);
+        1.0 + (target.m_latencyRatio - 1.0) * std::exp(-elapsed / latencySeconds);
+    target.m_failureRate *= std::exp(-elapsed / failureSeconds);
     target.m_statisticsUpdatedAt = now;
 }
 
 double expectedCost(Target &target, TimePoint now, const TargetCriteria &criteria)
 {
+    target.m_requestInterval = criteria.m_requestInterval;
     decayStatistics(target, now);
-    double cost = target.m_latencyRatio * (1.0 + inFlightCost * target.m_inFlight.size());
+    double cost = aversionCost * target.m_aversion;
+    cost += target.m_latencyRatio * (1.0 + inFlightCost * target.m_inFlight.size());
     cost += failureCost * target.m_failureRate;
     if (target.m_entry.m_dataCentre != criteria.m_dataCentre) {
         cost += otherDataCentreCost;
@@ -134,6 +162,8 @@
     decayStatistics(target, now);
     const double ratio =
         static_cast<double>(latency.count()) / std::max<double>(1.0, expectedLatency.count());
+    target.m_consecutiveSlowReplies =
+        ratio >= slowReplyRatio ? target.m_consecutiveSlowReplies + 1 : 0;
     target.m_latencyRatio +=
         smoothingFactor
         * (std::clamp(ratio, minimumLatencyRatio, maximumLatencyRatio) - target.m_latencyRatio);
--- a/libs/forwarding/tests/choicetest.cpp
+++ b/libs/forwarding/tests/choicetest.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include <gtest/gtest.h>
 
 #include "forwarding/forwarding.h"
@@ -43,6 +45,95 @@
     EXPECT_EQ(selectTarget(targets, start + 6s, criteriaFor("a")), targets[0]);
 }
 
+// Guards against a node with few requests that forgets the rejections of a target before its next
+// request: the retries would use up the budget for extra attempts, here a fifth of the requests.
+TEST(TargetSelection, RemembersRejectionsAcrossRareRequests)
+{
+    constexpr int requests = 40;
+    for (const Duration interval : {50ms, 300ms, 1000ms}) {
+        const std::vector<TargetPointer> targets = createTargets();
+        TargetCriteria criteria = criteriaFor("a");
+        criteria.m_requestInterval = interval;
+        int rejections = 0;
+        for (int request = 0; request < requests; ++request) {
+            const TimePoint now = start + request * interval;
+            const TargetPointer target = selectTarget(targets, now, criteria);
+            // Two of the three targets reject every other request.
+            if (target != targets[2] && request % 2 == 0) {
+                ++rejections;
+                recordFailure(*target, now, TargetFailure::Rejected);
+            } else {
+                recordSuccess(*target, now, 20ms, 20ms);
+            }
+        }
+        EXPECT_LE(rejections, requests / 5) << interval.count() << " us between requests";
+        EXPECT_EQ(selectTarget(targets, start + requests * interval + 60s, criteria), targets[0]);
+    }
+}
+
+// Guards against a node with few requests that returns to a slow target again and again, and
+// against one that avoids a target for seconds because of a single pause.
+TEST(TargetSelection, RemembersSlowTargetsAcrossRareRequestsButNotASinglePause)
+{
+    constexpr Duration interval = 300ms;
+    const std::vector<TargetPointer> targets = createTargets();
+    TargetCriteria criteria = criteriaFor("a");
+    criteria.m_requestInterval = interval;
+    recordSuccess(*targets[0], start, 200ms, 20ms);
+    EXPECT_EQ(selectTarget(targets, start + 1500ms, criteria), targets[0]);
+    int slow = 0;
+    constexpr int requests = 30;
+    for (int request = 0; request < requests; ++request) {
+        const TimePoint now = start + 2s + request * interval;
+        const TargetPointer target = selectTarget(targets, now, criteria);
+        const bool isSlow = target == targets[0];
+        slow += isSlow ? 1 : 0;
+        recordSuccess(*target, now, isSlow ? 200ms : 20ms, 20ms);
+    }
+    EXPECT_LE(slow, requests / 5);
+    EXPECT_EQ(selectTarget(targets, start + 60s, criteria), targets[0]);
+}
+
+// Guards against many nodes that all choose the same one of several equal targets, which then runs
+// out of connections while the others are idle.
+TEST(TargetSelection, NodesSpreadOverEqualTargets)
+{
+    constexpr int nodes = 60;
+    std::map<std::string, int> choices;
+    for (int node = 0; node < nodes; ++node) {
+        TargetRegistry registry;
+        registry.m_node = "front-" + std::to_string(node);
+        for (const std::string id : {"i-1", "i-2", "i-3"}) {
+            TargetEntry entry;
+            entry.m_id = id;
+            entry.m_service = "shard";
+            entry.m_dataCentre = "elsewhere";
+            applyEntry(registry, start, entry);
+        }
+        const std::vector<TargetPointer> &targets = registry.m_targetsByService["shard"];
+        const TargetPointer chosen = selectTarget(targets, start, criteriaFor("a"));
+        ASSERT_NE(chosen, nullptr);
+        EXPECT_EQ(selectTarget(targets, start, criteriaFor("a")), chosen);
+        ++choices[chosen->m_entry.m_id];
+    }
+    EXPECT_EQ(choices.size(), 3U);
+    for (const std::pair<const std::string, int> &choice : choices) {
+        EXPECT_LE(choice.second, nodes / 2) << choice.first;
+    }
+}
+
+// Guards against requests to another data centre that only spread the load.
+TEST(TargetSelection, PrefersItsOwnDataCentreOverSpreading)
+{
+    for (int node = 0; node < 60; ++node) {
+        std::vector<TargetPointer> targets = createTargets();
+        for (const TargetPointer &target : targets) {
+            target->m_aversion = target->m_entry.m_dataCentre == "a" ? 1.0 : 0.0;
+        }
+        EXPECT_EQ(selectTarget(targets, start, criteriaFor("a")), targets[0]);
+    }
+}
+
 // Guards against selecting a target again right after it refused a connection.
 TEST(TargetSelection, IncreasesTheBackoffOfATargetThatRefusesConnections)
 {
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -39,6 +39,7 @@
 ForwardOptions engineOptions(const GatewaySettings &settings)
 {
     ForwardOptions options;
+    options.m_node = settings.m_node;
     options.m_dataCentre = settings.m_dataCentre;
     options.m_budget.m_ratio = settings.m_extraArrivalRatio;
     options.m_budget.m_slack = settings.m_extraArrivalSlack;
