Do not blame a request for a crash once a target has answered it

One search alone reached 42 crashes, where 3 quarantine a request everywhere for five minutes.

Change: a request that crashes targets never has an answer, so a lost attempt of a request that has a successful sub-request is no evidence, whether the success comes before or after the loss. The target is still probed after the loss.

Test: EngineTest.DoesNotBlameARequestThatATargetHasAnswered, both orders, failed before. The test of a request that does crash targets is unchanged and passes.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -104,7 +104,8 @@
 //! @brief A request whose connection ended before a reply; it may have crashed the target.
 struct LostRequest
 {
-    std::uint64_t m_fingerprint = 0;
+    std::uint64_t m_requestNumber = 0;          //!< Of the engine.
+    std::optional<std::uint64_t> m_fingerprint; //!< Empty if another target answered the request.
     TimePoint m_lostAt;
 };
 
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -67,12 +67,14 @@
     std::size_t m_succeededCount = 0;
     std::size_t m_failedCount = 0;
     bool m_stragglerCheckDone = false; //!< Hedges for straggling shards are scheduled.
+    bool m_hasLostAttempts = false;
 };
 
 //! @brief An attempt that has been sent and has not ended.
 struct Attempt
 {
-    std::uint64_t m_pendingId = 0; //!< 0 once detached from its request.
+    std::uint64_t m_pendingId = 0;   //!< 0 once detached from its request.
+    bool m_requestSucceeded = false; //!< A target had answered the request before the detachment.
     std::size_t m_subrequestIndex = 0;
     TargetPointer m_target;
     ServiceState *m_service = nullptr;
@@ -133,7 +135,8 @@
     bool canServe(TimePoint now, const Route &route, const ServiceState *singleService) const;
     bool isServiceReachable(TimePoint now, const std::string &service) const;
     void probeDownTargets(TimePoint now);
-    void recordLostRequest(TimePoint now, Target &target, std::uint64_t fingerprint);
+    void recordLostRequest(TimePoint now, const Attempt &attempt);
+    void clearSuspicion(PendingRequest &pending);
     void recordConnectFailure(TimePoint now, Target &target);
     void recordRemoteContact(TimePoint now, const Target &target, bool connected);
     bool isIsolated(TimePoint now) const;
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -115,7 +115,7 @@
         m_output.abandon(id);
     }
     if (end == ForwardEnd::Closed || end == ForwardEnd::Reset) {
-        recordLostRequest(now, *attempt.m_target, attempt.m_request->m_fingerprint);
+        recordLostRequest(now, attempt);
     } else if (end == ForwardEnd::ConnectFailed) {
         recordConnectFailure(now, *attempt.m_target);
     }
@@ -157,6 +157,7 @@
     subrequest.m_state = SubrequestState::Succeeded;
     subrequest.m_reply = std::move(reply);
     ++pending.m_succeededCount;
+    clearSuspicion(pending);
     if (subrequest.m_attemptsInFlight > 0) {
         detachAttempts(now, pending.m_id, index);
         subrequest.m_attemptsInFlight = 0;
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -58,20 +58,47 @@
     }
 }
 
-void ForwardEngine::Implementation::recordLostRequest(TimePoint now, Target &target,
-                                                      std::uint64_t fingerprint)
+void ForwardEngine::Implementation::recordLostRequest(TimePoint now, const Attempt &attempt)
 {
-    target.m_lostRequests.push_back(LostRequest{fingerprint, now});
+    PendingRequest *pending = findPendingRequest(attempt.m_pendingId);
+    const bool succeeded =
+        pending != nullptr ? pending->m_succeededCount > 0 : attempt.m_requestSucceeded;
+    LostRequest lost;
+    lost.m_requestNumber = attempt.m_pendingId;
+    lost.m_lostAt = now;
+    if (!succeeded) {
+        lost.m_fingerprint = attempt.m_request->m_fingerprint;
+    }
+    if (pending != nullptr) {
+        pending->m_hasLostAttempts = true;
+    }
+    Target &target = *attempt.m_target;
+    target.m_lostRequests.push_back(lost);
     target.m_nextProbeAt = now + crashProbeDelay;
     addTimer(target.m_nextProbeAt, TimerKind::Probe, 0);
 }
 
+void ForwardEngine::Implementation::clearSuspicion(PendingRequest &pending)
+{
+    if (!pending.m_hasLostAttempts) {
+        return;
+    }
+    pending.m_hasLostAttempts = false;
+    for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
+        for (LostRequest &lost : entry.second->m_lostRequests) {
+            if (lost.m_requestNumber == pending.m_id) {
+                lost.m_fingerprint.reset();
+            }
+        }
+    }
+}
+
 void ForwardEngine::Implementation::recordConnectFailure(TimePoint now, Target &target)
 {
     for (const LostRequest &lost : target.m_lostRequests) {
-        if (now - lost.m_lostAt < crashAttributionWindow) {
-            m_output.publishCrashCount(lost.m_fingerprint,
-                                       recordCrash(m_crashes, now, lost.m_fingerprint));
+        if (lost.m_fingerprint && now - lost.m_lostAt < crashAttributionWindow) {
+            m_output.publishCrashCount(*lost.m_fingerprint,
+                                       recordCrash(m_crashes, now, *lost.m_fingerprint));
         }
     }
     target.m_lostRequests.clear();
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -244,6 +244,30 @@
     EXPECT_FALSE(m_engine.isIsolated(m_now));
 }
 
+// Guards against quarantining a search because a network cut resets its connections to many
+// targets: a request that a target has answered does not crash targets, whichever comes first.
+TEST_F(EngineTest, DoesNotBlameARequestThatATargetHasAnswered)
+{
+    for (const bool answeredFirst : {true, false}) {
+        submit("/search/cut");
+        const ForwardCommand lost = m_output.m_orders[m_output.m_orders.size() - 2];
+        const ForwardCommand answered = m_output.m_orders.back();
+        if (answeredFirst) {
+            replySuccess(answered);
+        }
+        endAttempt(lost, ForwardEnd::Reset);
+        if (!answeredFirst) {
+            replySuccess(answered);
+        }
+        m_output.m_probed.clear();
+        advanceTime(70ms);
+        ASSERT_THAT(m_output.m_probed, testing::Contains(lost.m_target));
+        m_engine.probeEnded(now(), lost.m_target, false);
+        EXPECT_TRUE(m_output.m_crashCounts.empty()) << "answered first: " << answeredFirst;
+        advanceTime(5s);
+    }
+}
+
 // Guards against a request that crashes one target after another as its caller repeats it.
 TEST_F(EngineTest, QuarantinesARequestThatCrashesTargets)
 {
