Bound the framing of replies and requests, and all replies together

Heads and bodies were bounded. Not bounded were the size line and the extension of a chunk and the trailers, for which the parser of the library has no limit: a target that sends them without end filled the memory of a gateway or daemon (2 MB and more taken in the test until it stopped by itself), and so did a caller. Fifty replies of 4 MB each were 200 MB, more than a VM of 160 MB has.

Change: the limit of a reply counts its bytes as received, with head and framing, for all clients (targets, store, peers over HTTP). Replies that are being read by the forwarding client together stay below 32 MB; above it the one that grows is given up as malformed. The server limits its buffer to head, body and 64 KB of framing and answers 400.

--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -36,6 +36,7 @@
     std::uint64_t m_messages = 0;
     std::uint64_t m_bytesIn = 0;
     std::uint64_t m_bytesOut = 0;
+    std::size_t m_bufferedBytes = 0; //!< Now, of replies that are not complete.
 };
 
 // HTTP server ------------------------------------------------------------------------------------
@@ -230,7 +231,9 @@
     //! target that has closed it leaves open whether it ran the request.
     Duration m_freshIdleLimit{700'000};
     std::chrono::milliseconds m_peerTimeout{1500};
-    std::uint32_t m_replyLimitBytes = 4 * 1024 * 1024;
+    std::uint32_t m_replyLimitBytes = 4 * 1024 * 1024; //!< With head and framing.
+    //! For all replies that are being read together. Above it, a reply that grows is given up.
+    std::size_t m_bufferedLimitBytes = 32 * 1024 * 1024;
 };
 
 struct ForwardClientStatistics
--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -114,6 +114,7 @@
     m_closed = true;
     m_reusable = false;
     m_handler = nullptr;
+    releaseReply();
     error_code ignored;
     m_socket.close(ignored);
 }
@@ -140,6 +141,8 @@
         }
         return;
     }
+    m_replyBytes += bytes;
+    m_hop.m_bufferedBytes += bytes;
     if (error) {
         handleEndOfStream(error);
         return;
@@ -147,6 +150,18 @@
     parseBuffered();
 }
 
+bool ClientConnection::isReplyTooLarge() const
+{
+    // The parser has no limit of its own for the framing of chunks and for trailers.
+    return m_replyBytes > m_replyLimit || m_hop.m_bufferedBytes > m_bufferedLimit;
+}
+
+void ClientConnection::releaseReply()
+{
+    m_hop.m_bufferedBytes -= m_replyBytes;
+    m_replyBytes = 0;
+}
+
 void ClientConnection::parseBuffered()
 {
     error_code error;
@@ -157,7 +172,11 @@
         return;
     }
     if (!m_parser->is_done()) {
-        readMore();
+        if (isReplyTooLarge()) {
+            finish(ExchangeEnd::Malformed);
+        } else {
+            readMore();
+        }
         return;
     }
     // Bytes after the reply would be taken for the reply of the next request, and the peer would
@@ -188,6 +207,7 @@
 {
     const ExchangeHandler handler = std::move(m_handler);
     m_handler = nullptr;
+    releaseReply();
     if (m_reusable) {
         readMore();
     } else {
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,7 @@
     using ConnectHandler = std::function<void(bool connected)>;
     using ExchangeHandler = std::function<void(ExchangeEnd end, const ReplyContent &reply)>;
 
+    //! @param replyLimit largest reply in bytes, with its head and framing.
     ClientConnection(asio::io_context &context, HopStatistics &hop, std::uint64_t replyLimit);
 
     void connect(const Tcp::endpoint &endpoint, ConnectHandler handler);
@@ -48,6 +50,12 @@
         m_peerTimeout = timeout;
     }
 
+    //! @brief Limits the incomplete replies of all connections that share the statistics, in bytes.
+    void setBufferedLimit(std::size_t limit)
+    {
+        m_bufferedLimit = limit;
+    }
+
     //! @brief Writes the request and waits for the reply. The text is not used after the call.
     void exchange(std::string_view request, const ExchangeOptions &options,
                   ExchangeHandler handler);
@@ -68,7 +76,9 @@
     void writeRest(std::string rest);
     void readMore();
     void handleRead(boost::system::error_code error, std::size_t bytes);
+    bool isReplyTooLarge() const;
     void parseBuffered();
+    void releaseReply();
     void handleEndOfStream(boost::system::error_code error);
     void finish(ExchangeEnd end);
     void reportNotSent(ExchangeHandler handler);
@@ -76,6 +86,8 @@
     Tcp::socket m_socket;
     HopStatistics &m_hop;
     std::uint64_t m_replyLimit;
+    std::size_t m_bufferedLimit = std::numeric_limits<std::size_t>::max();
+    std::size_t m_replyBytes = 0; //!< Received of the current reply.
     boost::beast::flat_buffer m_buffer;
     std::optional<ReplyParser> m_parser;
     ReplyContent m_content;
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -182,6 +182,7 @@
         link->m_connection = std::make_shared<ClientConnection>(m_context, m_statistics.m_hop,
                                                                 m_options.m_replyLimitBytes);
         link->m_connection->setPeerTimeout(m_options.m_peerTimeout);
+        link->m_connection->setBufferedLimit(m_options.m_bufferedLimitBytes);
         ++m_statistics.m_opened;
         ++m_statistics.m_connections;
         return link;
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -23,6 +23,9 @@
 constexpr Duration drainTimeout{1'000'000};
 constexpr std::size_t drainLimitBytes = 4 * 1024 * 1024;
 
+// Room for the framing of a request and for the requests that a caller sends ahead.
+constexpr std::size_t framingLimitBytes = 64 * 1024;
+
 std::string errorBody(std::string_view message)
 {
     return boost::json::serialize(boost::json::object{{"error", message}});
@@ -105,6 +108,9 @@
     m_parser.emplace();
     m_parser->header_limit(state->m_options.m_headerLimitBytes);
     m_parser->body_limit(state->m_options.m_bodyLimitBytes);
+    // The parser has no limit of its own for the framing of chunks and for trailers.
+    m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), framingLimitBytes)
+                      + state->m_options.m_headerLimitBytes + state->m_options.m_bodyLimitBytes);
     if (m_buffer.size() > 0) {
         startReading();
         return;
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -88,6 +88,27 @@
     EXPECT_EQ(requests[1].m_roundTrip, requests[0].m_roundTrip);
 }
 
+// Guards against a caller whose chunk extension or trailers never end and fill the memory.
+TEST_F(HttpServerTest, RejectsEndlessFraming)
+{
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(16 * 1024, 'a');
+    for (const std::string start : {"4;name=", "0\r\nX-Trailer: "}) {
+        RawClient client(m_context, m_server.port());
+        client.send(head + start);
+        std::size_t sent = 0;
+        while (client.text().empty() && !client.isClosed() && sent < 4 * 1024 * 1024) {
+            client.send(filler);
+            sent += filler.size();
+            runUntil(
+                m_context, [] { return false; }, std::chrono::milliseconds(1));
+        }
+        EXPECT_LT(sent, 512U * 1024);
+        EXPECT_EQ(client.text().find("HTTP/1.1 408"), std::string::npos);
+    }
+    expectStillServing();
+}
+
 // Guards against malformed requests that get no answer or take the server down.
 TEST_F(HttpServerTest, AnswersMalformedRequestWith400)
 {
