Name the tie-breaker of equal targets and show buffered reply bytes

The gauge arbutusgrade_reply_bytes_buffered shows how near the replies are to their limit. Behaviour is unchanged.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -104,7 +104,7 @@
 //! @brief A request whose connection ended before a reply; it may have crashed the target.
 struct LostRequest
 {
-    std::uint64_t m_requestNumber = 0;          //!< Of the engine.
+    std::uint64_t m_requestNumber = 0; //!< Number of the request in the engine; 0 if it has ended.
     std::optional<std::uint64_t> m_fingerprint; //!< Empty if another target answered the request.
     TimePoint m_lostAt;
 };
@@ -117,7 +117,8 @@
     bool m_removed = false;         //!< No longer in the registry.
     TimePoint m_removalEffectiveAt; //!< For removed targets.
     TimePoint m_warmupEnd;          //!< The target may be slower before this time.
-    double m_aversion = 0.0;        //!< From 0 to 1, by rendezvous hashing; differs between nodes.
+    //! From 0 to 1, lower for the targets that this node prefers; nodes prefer different ones.
+    double m_tieBreaker = 0.0;
     std::vector<OutstandingAttempt> m_inFlight;
     double m_latencyRatio = 1.0; //!< Smoothed ratio of actual to expected latency.
     double m_failureRate = 0.0;  //!< Smoothed fraction of failed attempts.
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -34,8 +34,8 @@
     TargetPointer target = std::make_shared<Target>();
     target->m_entry = entry;
     target->m_warmupEnd = now + entry.m_warmupRemaining;
-    target->m_aversion = static_cast<double>(rendezvousWeight(registry.m_node, entry.m_id))
-                         / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    target->m_tieBreaker = static_cast<double>(rendezvousWeight(registry.m_node, entry.m_id))
+                           / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
     registry.m_targets[entry.m_id] = target;
     registry.m_targetsByService[entry.m_service].push_back(target);
     return target;
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -47,8 +47,9 @@
 // Costs in units of the typical latency of a healthy target.
 constexpr double inFlightCost = 0.35;
 constexpr double otherDataCentreCost = 0.7;
-// Below otherDataCentreCost, so that spreading the load keeps requests in the data centre.
-constexpr double aversionCost = 0.2;
+// Lets nodes prefer different targets. Below otherDataCentreCost, so that spreading the load keeps
+// requests in the data centre.
+constexpr double tieBreakerCost = 0.2;
 constexpr double warmingCost = 0.8;
 constexpr double failureCost = 6.0;
 constexpr double backoffCost = 30.0;
@@ -86,7 +87,7 @@
 {
     target.m_requestInterval = criteria.m_requestInterval;
     decayStatistics(target, now);
-    double cost = aversionCost * target.m_aversion;
+    double cost = tieBreakerCost * target.m_tieBreaker;
     cost += target.m_latencyRatio * (1.0 + inFlightCost * target.m_inFlight.size());
     cost += failureCost * target.m_failureRate;
     if (target.m_entry.m_dataCentre != criteria.m_dataCentre) {
--- a/libs/forwarding/tests/choicetest.cpp
+++ b/libs/forwarding/tests/choicetest.cpp
@@ -128,7 +128,7 @@
     for (int node = 0; node < 60; ++node) {
         std::vector<TargetPointer> targets = createTargets();
         for (const TargetPointer &target : targets) {
-            target->m_aversion = target->m_entry.m_dataCentre == "a" ? 1.0 : 0.0;
+            target->m_tieBreaker = target->m_entry.m_dataCentre == "a" ? 1.0 : 0.0;
         }
         EXPECT_EQ(selectTarget(targets, start, criteriaFor("a")), targets[0]);
     }
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -46,6 +46,8 @@
              static_cast<double>(engine.m_inFlight));
     addGauge(families, "arbutusgrade_target_connections", "Open connections to targets",
              static_cast<double>(client.m_connections));
+    addGauge(families, "arbutusgrade_reply_bytes_buffered", "Bytes of replies not complete yet",
+             static_cast<double>(client.m_hop.m_bufferedBytes));
     addGauge(families, "arbutusgrade_configuration_version", "Version in force",
              m_engine.routing() ? static_cast<double>(m_engine.routing()->m_version) : 0.0);
     addGauge(families, "arbutusgrade_ready", "1 if the node takes requests", isReady() ? 1.0 : 0.0);
