Fail sub-requests at once when no target of their service is in reach

Change: a sub-request whose service has no target in reach fails when it arrives, and queued ones fail when the last target goes down or leaves the registry. The search is answered with what it has, sooner than at its latency target, or fails at once.

Tests: DoesNotWaitForAShardWithoutReachableTargets and FailsQueuedRequestsAtOnceWhenTheirLastTarget- IsUnreachable failed before; ...IsRemoved was written with the change and not seen failing alone.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -65,6 +65,10 @@
     if (sendAttempt(now, pending, index, AttemptReason::First) == SendResult::Sent) {
         return;
     }
+    if (!isServiceReachable(now, pending.m_subrequests[index].m_service->m_name)) {
+        failSubrequest(now, pending, index, "targets-unreachable");
+        return;
+    }
     std::deque<QueuedSubrequest> &queue = pending.m_subrequests[index].m_service->m_queue;
     const QueuedSubrequest entry{pending.m_id, index, pending.m_route->m_priority};
     queue.insert(std::upper_bound(queue.begin(), queue.end(), entry,
@@ -219,6 +223,22 @@
     }
 }
 
+void ForwardEngine::Implementation::failUnreachableQueue(TimePoint now, ServiceState &service)
+{
+    if (service.m_queue.empty() || isServiceReachable(now, service.m_name)) {
+        return;
+    }
+    const std::deque<QueuedSubrequest> queue = std::move(service.m_queue);
+    service.m_queue.clear();
+    for (const QueuedSubrequest &entry : queue) {
+        PendingRequest *pending = findPendingRequest(entry.m_pendingId);
+        if (pending != nullptr
+            && pending->m_subrequests[entry.m_subrequestIndex].m_state == SubrequestState::Queued) {
+            failSubrequest(now, *pending, entry.m_subrequestIndex, "targets-unreachable");
+        }
+    }
+}
+
 void ForwardEngine::Implementation::detachAttempts(TimePoint now, std::uint64_t pendingId,
                                                    std::optional<std::size_t> subrequestIndex)
 {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -154,6 +154,7 @@
     void sendRetry(TimePoint now, PendingRequest &pending, std::size_t index);
     bool canRetry(const PendingRequest &pending, const Subrequest &subrequest) const;
     void dispatchQueue(TimePoint now, ServiceState &service);
+    void failUnreachableQueue(TimePoint now, ServiceState &service);
     int inFlightLimit(const PendingRequest &pending, const ServiceState &service) const;
     void detachAttempts(TimePoint now, std::uint64_t pendingId,
                         std::optional<std::size_t> subrequestIndex);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -58,6 +58,7 @@
     for (const std::pair<const std::string, std::unique_ptr<ServiceState>> &service :
          m_implementation->m_services) {
         m_implementation->dispatchQueue(now, *service.second);
+        m_implementation->failUnreachableQueue(now, *service.second);
     }
 }
 
@@ -196,6 +197,8 @@
     if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
+    // The request cannot end in this loop: canServe() has found enough services in reach, and no
+    // reply comes before the loop is over.
     for (std::size_t index = 0; index < pending.m_subrequests.size(); ++index) {
         recordRequest(now, *pending.m_subrequests[index].m_service);
         startSubrequest(now, pending, index);
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -104,6 +104,7 @@
     target.m_lostRequests.clear();
     recordFailure(target, now, TargetFailure::ConnectFailed);
     addTimer(target.m_nextProbeAt, TimerKind::Probe, 0);
+    failUnreachableQueue(now, serviceState(target.m_entry.m_service));
 }
 
 void ForwardEngine::Implementation::recordRemoteContact(TimePoint now, const Target &target,
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -244,6 +244,62 @@
     EXPECT_FALSE(m_engine.isIsolated(m_now));
 }
 
+// Guards against a search that waits for a shard of which no target can be reached, although its
+// other shards have replied.
+TEST_F(EngineTest, DoesNotWaitForAShardWithoutReachableTargets)
+{
+    for (const TargetPointer &target : m_engine.registry().m_targetsByService["shard-1"]) {
+        m_engine.probeEnded(now(), target, false);
+    }
+    submit("/search/x");
+    ASSERT_EQ(m_output.m_orders.size(), 1U);
+    replySuccess(m_output.m_orders.back());
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers.back().m_status, 200);
+    EXPECT_EQ(m_output.m_answers.back().m_missingShards, 1U);
+}
+
+// Guards against a queued request that waits until its deadline after its last target has become
+// unreachable; its caller could be served by another node meanwhile.
+TEST_F(EngineTest, FailsQueuedRequestsAtOnceWhenTheirLastTargetIsUnreachable)
+{
+    m_table.m_routes[0].m_minimumShardShare = 1.0;
+    applyTable(2);
+    const std::vector<TargetPointer> targets = m_engine.registry().m_targetsByService["shard-1"];
+    for (const TargetPointer &target : targets) {
+        // No slot is free.
+        target->m_inFlight.assign(16, OutstandingAttempt{0, farFuture});
+    }
+    submit("/search/x");
+    replySuccess(m_output.m_orders.back());
+    EXPECT_TRUE(m_output.m_answers.empty());
+    for (const TargetPointer &target : targets) {
+        m_engine.probeEnded(now(), target, false);
+    }
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers.back().m_status, 502);
+}
+
+// Guards against a queued request that waits until its deadline after its last target has been
+// removed from the registry.
+TEST_F(EngineTest, FailsQueuedRequestsAtOnceWhenTheirLastTargetIsRemoved)
+{
+    m_table.m_routes[0].m_minimumShardShare = 1.0;
+    applyTable(2);
+    for (const TargetPointer &target : m_engine.registry().m_targetsByService["shard-1"]) {
+        target->m_inFlight.assign(16, OutstandingAttempt{0, farFuture});
+        removeEntry(m_engine.registry(), now(), target->m_entry.m_id);
+    }
+    advanceTime(TargetRegistry::removalGracePeriod - 500ms);
+    submit("/search/x");
+    replySuccess(m_output.m_orders.back());
+    advanceTime(600ms);
+    EXPECT_TRUE(m_output.m_answers.empty());
+    m_engine.registryChanged(now());
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers.back().m_status, 502);
+}
+
 // Guards against quarantining a search because a network cut resets its connections to many
 // targets: a request that a target has answered does not crash targets, whichever comes first.
 TEST_F(EngineTest, DoesNotBlameARequestThatATargetHasAnswered)
