Answer requests that have arrived when a planned stop begins

Cause: stopAccepting() closed idle connections without looking whether a request had arrived unread, and closed the listening socket, at which the system resets the connections that it holds for it. Both cut off requests that callers had just sent. A connection accepted in the same turn of the loop was dropped as well.

Change: connections that wait are accepted first, and an idle connection with unread bytes is read, answered and then closed.

Tests: HttpServer.StopAnswersRequestsThatHaveArrived failed before (no answer on either connection); all 49 of transport-test pass.

--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -60,8 +60,8 @@
     //! @brief Ends a request that took too long to read, or a peer that does not read or is idle.
     void checkDeadline(TimePoint now);
 
-    //! @brief Closes the connection if no request is in progress.
-    void closeIfIdle();
+    //! @brief Closes the connection if no request is in progress and none has arrived unread.
+    void endIdle();
 
     bool isBusy() const
     {
--- a/libs/transport/src/httpserver.cpp
+++ b/libs/transport/src/httpserver.cpp
@@ -45,14 +45,18 @@
     void accept()
     {
         m_acceptor.async_accept([self = shared_from_this()](error_code error, Tcp::socket socket) {
-            if (!self->m_acceptor.is_open()) {
+            const bool isOpen = self->m_acceptor.is_open();
+            // A connection that was accepted just before the stop is still served.
+            if (!error && (isOpen || self->m_state->m_stopping)) {
+                self->addSession(std::move(socket));
+            }
+            if (!isOpen) {
                 return;
             }
             if (error) {
                 self->acceptLater();
                 return;
             }
-            self->addSession(std::move(socket));
             self->accept();
         });
     }
@@ -82,6 +86,21 @@
         }
     }
 
+    //! @brief Accepts the connections that the system holds for this server.
+    void acceptWaiting()
+    {
+        error_code error;
+        m_acceptor.cancel(error);
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            Tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                addSession(std::move(socket));
+            }
+        }
+    }
+
     void sweep()
     {
         m_sweepTimer.expires_after(sweepInterval);
@@ -195,12 +214,14 @@
 
 void HttpServer::stopAccepting()
 {
+    // Closing the acceptor would reset the connections that are not accepted yet.
+    m_implementation->acceptWaiting();
     error_code ignored;
     m_implementation->m_acceptor.close(ignored);
     m_implementation->m_acceptTimer.cancel();
     m_implementation->m_state->m_stopping = true;
     for (const std::shared_ptr<HttpSession> &session : m_implementation->sessions()) {
-        session->closeIfIdle();
+        session->endIdle();
     }
 }
 
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -89,9 +89,15 @@
     close();
 }
 
-void HttpSession::closeIfIdle()
+void HttpSession::endIdle()
 {
-    if (m_phase == Phase::Idle) {
+    if (m_phase != Phase::Idle) {
+        return;
+    }
+    error_code ignored;
+    if (m_socket.available(ignored) > 0) {
+        startReading();
+    } else {
         close();
     }
 }
@@ -99,7 +105,8 @@
 void HttpSession::waitForRequest()
 {
     const std::shared_ptr<HttpServerState> state = m_state.lock();
-    if (!state || state->m_stopping) {
+    error_code ignored;
+    if (!state || (state->m_stopping && m_socket.available(ignored) == 0)) {
         close();
         return;
     }
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -182,6 +182,24 @@
               std::string::npos);
 }
 
+// Guards against a planned stop that resets requests which have arrived but were not read yet, on
+// an idle connection or on one that was not accepted.
+TEST_F(HttpServerTest, StopAnswersRequestsThatHaveArrived)
+{
+    const std::string request = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
+    RawClient idle(m_context, m_server.port());
+    runFor(m_context, std::chrono::milliseconds(20));
+    RawClient notAccepted(m_context, m_server.port());
+    idle.send(request);
+    notAccepted.send(request);
+    m_server.stopAccepting();
+    EXPECT_EQ(m_server.requestsInFlight(), 2U);
+    EXPECT_TRUE(runUntil(m_context, [&] { return idle.isClosed() && notAccepted.isClosed(); }));
+    EXPECT_TRUE(idle.received("200 OK"));
+    EXPECT_TRUE(notAccepted.received("200 OK"));
+    EXPECT_TRUE(notAccepted.received("Connection: close"));
+}
+
 // Guards against a shutdown that cuts off a request in flight or keeps idle connections.
 TEST_F(HttpServerTest, StopAnswersRequestInFlight)
 {
