--- a/libs/forwarding/tests/choicetest.cpp
+++ b/libs/forwarding/tests/choicetest.cpp
@@ -125,13 +125,11 @@
 // Guards against requests to another data centre that only spread the load.
 TEST(TargetSelection, PrefersItsOwnDataCentreOverSpreading)
 {
-    for (int node = 0; node < 60; ++node) {
-        std::vector<TargetPointer> targets = createTargets();
-        for (const TargetPointer &target : targets) {
-            target->m_tieBreaker = target->m_entry.m_dataCentre == "a" ? 1.0 : 0.0;
-        }
-        EXPECT_EQ(selectTarget(targets, start, criteriaFor("a")), targets[0]);
+    const std::vector<TargetPointer> targets = createTargets();
+    for (const TargetPointer &target : targets) {
+        target->m_tieBreaker = target->m_entry.m_dataCentre == "a" ? 1.0 : 0.0;
     }
+    EXPECT_EQ(selectTarget(targets, start, criteriaFor("a")), targets[0]);
 }
 
 // Guards against selecting a target again right after it refused a connection.
