Scan for suspected crashes only where there is a suspicion, and correct records

(1) recordLostRequest() marked a request also when the lost attempt was no suspicion, so that each later reply to a search scanned all targets during a cut. The mark is now set with the suspicion and named m_isSuspect; what is counted and published is the same.

--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -67,7 +67,7 @@
     std::size_t m_succeededCount = 0;
     std::size_t m_failedCount = 0;
     bool m_stragglerCheckDone = false; //!< Hedges for straggling shards are scheduled.
-    bool m_hasLostAttempts = false;
+    bool m_isSuspect = false; //!< Lost attempts count as possible crashes until a target answers.
 };
 
 //! @brief An attempt that has been sent and has not ended.
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -68,9 +68,9 @@
     lost.m_lostAt = now;
     if (!succeeded) {
         lost.m_fingerprint = attempt.m_request->m_fingerprint;
-    }
-    if (pending != nullptr) {
-        pending->m_hasLostAttempts = true;
+        if (pending != nullptr) {
+            pending->m_isSuspect = true;
+        }
     }
     Target &target = *attempt.m_target;
     target.m_lostRequests.push_back(lost);
@@ -80,10 +80,10 @@
 
 void ForwardEngine::Implementation::clearSuspicion(PendingRequest &pending)
 {
-    if (!pending.m_hasLostAttempts) {
+    if (!pending.m_isSuspect) {
         return;
     }
-    pending.m_hasLostAttempts = false;
+    pending.m_isSuspect = false;
     for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
         for (LostRequest &lost : entry.second->m_lostRequests) {
             if (lost.m_requestNumber == pending.m_id) {
