--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "details/enginestate.h"
 
@@ -203,6 +204,10 @@
         failSubrequest(now, pending, index, "targets-unreachable");
         return;
     }
+    if (!std::exchange(subrequest.m_retryDelayed, true)) {
+        logDecision(now, pending, index, "retry-delayed",
+                    result == SendResult::NoBudget ? "no-budget" : "no-target", {}, 0);
+    }
     addTimer(now + retryRecheckInterval, TimerKind::Retry, pending.m_id, index);
 }
 
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -49,6 +49,7 @@
     int m_possibleExecutions = 0; //!< Attempts that a target may have run.
     TargetReply m_reply;          //!< Successful reply, or the last error reply of a target.
     bool m_hasErrorReply = false;
+    bool m_retryDelayed = false;      //!< A retry has waited for the budget or a target.
     std::string_view m_failureReason; //!< Of the last failed attempt.
 };
 
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -44,6 +44,8 @@
     void beginShutdown(std::function<void()> finished);
     void stopAccepting();
     void waitForRequests();
+    void endShutdown();
+    void logUnansweredRequests();
 
     MetricFamilies metrics() const;
 
@@ -66,6 +68,7 @@
     {
         HttpResponder m_responder;
         TimePoint m_arrived;
+        std::string m_requestId;
     };
     std::unordered_map<std::uint64_t, PendingExchange> m_pendingExchanges; //!< Keyed by exchange.
     std::string m_attemptBuffer; //!< Reused for all attempts.
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -12,13 +12,6 @@
 
 constexpr std::chrono::milliseconds tickInterval{250};
 
-// The load balancer checks readiness once per second and removes a node after two failed checks.
-// New connections arrive until then and for slightly longer; the rest of the shutdown grace is
-// reserved for requests in flight.
-constexpr std::chrono::milliseconds requestDrainTime{1'700};
-constexpr std::chrono::milliseconds shutdownMargin{250};
-constexpr std::chrono::milliseconds drainPollInterval{20};
-
 // The VM counts as suspended if the steady clock falls behind the time since boot by this much.
 constexpr Duration suspensionThreshold = std::chrono::milliseconds(300);
 
@@ -174,7 +167,8 @@
     }
     recordCallerPath(request);
     const TimePoint now = bootTimeNow();
-    m_pendingExchanges[request.m_exchange] = PendingExchange{responder, now};
+    m_pendingExchanges[request.m_exchange] =
+        PendingExchange{responder, now, parsed.m_request->m_requestId};
     m_engine.submit(now, parsed.m_request);
     armEngineTimer();
 }
@@ -343,53 +337,6 @@
     m_log.write(LogLevel::Info, m_loggedReady ? "ready" : "not-ready", "");
 }
 
-void GatewayNode::Implementation::beginShutdown(std::function<void()> finished)
-{
-    if (m_shuttingDown) {
-        return;
-    }
-    m_shuttingDown = true;
-    m_shutdownStarted = bootTimeNow();
-    m_shutdownFinished = std::move(finished);
-    m_log.write(LogLevel::Info, "shutdown-begun",
-                "requests are accepted until the load balancer has removed this node");
-    m_callerServer.announceClose();
-    m_shutdownTimer.expires_after(
-        std::max(std::chrono::milliseconds(0), m_settings.m_shutdownGrace - requestDrainTime));
-    m_shutdownTimer.async_wait([this](error_code error) {
-        if (!error) {
-            stopAccepting();
-        }
-    });
-}
-
-void GatewayNode::Implementation::stopAccepting()
-{
-    m_callerServer.stopAccepting();
-    m_storeSync.stop();
-    m_membership->stop();
-    waitForRequests();
-}
-
-void GatewayNode::Implementation::waitForRequests()
-{
-    const bool graceOver =
-        bootTimeNow() - m_shutdownStarted >= m_settings.m_shutdownGrace - shutdownMargin;
-    if (m_callerServer.requestsInFlight() == 0 || graceOver) {
-        m_log.write(LogLevel::Info, "shutdown-ended", "",
-                    {{"requestsInFlight", m_callerServer.requestsInFlight()}});
-        m_log.flush();
-        m_shutdownFinished();
-        return;
-    }
-    m_shutdownTimer.expires_after(drainPollInterval);
-    m_shutdownTimer.async_wait([this](error_code error) {
-        if (!error) {
-            waitForRequests();
-        }
-    });
-}
-
 GatewayNode::GatewayNode(boost::asio::io_context &context, const GatewaySettings &settings,
                          const DeploymentFormat &format, MetadataStore &store, Log &log)
     : m_implementation(std::make_shared<Implementation>(context, settings, format, store, log))
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -51,6 +51,20 @@
     addGauge(families, "arbutusgrade_configuration_version", "Version in force",
              m_engine.routing() ? static_cast<double>(m_engine.routing()->m_version) : 0.0);
     addGauge(families, "arbutusgrade_ready", "1 if the node takes requests", isReady() ? 1.0 : 0.0);
+    counter("arbutusgrade_connections_closed_unread_total",
+            "Idle connections of callers closed with bytes that were not read",
+            m_callerServer.statistics().m_closedWithUnreadBytes);
+    const HttpConnectionCounts connections = m_callerServer.connectionCounts();
+    const std::array<std::pair<std::string_view, std::size_t>, 5> states{
+        {{"idle", connections.m_idle},
+         {"reading", connections.m_reading},
+         {"handling", connections.m_handling},
+         {"writing", connections.m_writing},
+         {"draining", connections.m_draining}}};
+    for (const std::pair<std::string_view, std::size_t> &state : states) {
+        addGauge(families, "arbutusgrade_caller_connections", "Connections of callers by state",
+                 static_cast<double>(state.second), {{"state", state.first}});
+    }
     m_latency.collect(families);
     m_callerRoundTrip.collect(families);
     return families;
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -90,6 +90,18 @@
     std::uint64_t m_accepted = 0;
     std::uint64_t m_rejectedRequests = 0; //!< Malformed, oversized, slow or truncated.
     std::size_t m_connections = 0;        //!< Open now.
+    //! Idle connections that the server closed although bytes had arrived that it had not read.
+    std::uint64_t m_closedWithUnreadBytes = 0;
+};
+
+//! @brief Open connections of a server by what they are doing.
+struct HttpConnectionCounts
+{
+    std::size_t m_idle = 0;
+    std::size_t m_reading = 0;  //!< A request has arrived in part.
+    std::size_t m_handling = 0; //!< A request was read and has no response yet.
+    std::size_t m_writing = 0;
+    std::size_t m_draining = 0; //!< The last response was sent; the peer has not closed yet.
 };
 
 //! @brief HTTP/1.1 server with a table of routes.
@@ -134,6 +146,7 @@
     //! @brief Number of requests that are read, handled or being answered.
     std::size_t requestsInFlight() const;
 
+    HttpConnectionCounts connectionCounts() const;
     HttpServerStatistics statistics() const;
 
 private:
--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -63,6 +63,9 @@
     //! @brief Closes the connection if no request is in progress and none has arrived unread.
     void endIdle();
 
+    //! @brief Adds this connection to the counts.
+    void count(HttpConnectionCounts &counts) const;
+
     bool isBusy() const
     {
         return m_phase != Phase::Idle && m_phase != Phase::Draining;
--- a/libs/transport/src/httpserver.cpp
+++ b/libs/transport/src/httpserver.cpp
@@ -234,6 +234,15 @@
         [](const std::shared_ptr<HttpSession> &session) { return session->isBusy(); }));
 }
 
+HttpConnectionCounts HttpServer::connectionCounts() const
+{
+    HttpConnectionCounts counts;
+    for (const std::shared_ptr<HttpSession> &session : m_implementation->m_state->m_sessions) {
+        session->count(counts);
+    }
+    return counts;
+}
+
 HttpServerStatistics HttpServer::statistics() const
 {
     return m_implementation->m_state->m_statistics;
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -102,6 +102,29 @@
     }
 }
 
+void HttpSession::count(HttpConnectionCounts &counts) const
+{
+    switch (m_phase) {
+    case Phase::Idle:
+        ++counts.m_idle;
+        break;
+    case Phase::Reading:
+        ++counts.m_reading;
+        break;
+    case Phase::Handling:
+        ++counts.m_handling;
+        break;
+    case Phase::Writing:
+        ++counts.m_writing;
+        break;
+    case Phase::Draining:
+        ++counts.m_draining;
+        break;
+    case Phase::Closed:
+        break;
+    }
+}
+
 void HttpSession::waitForRequest()
 {
     const std::shared_ptr<HttpServerState> state = m_state.lock();
@@ -373,11 +396,13 @@
     if (m_phase == Phase::Closed) {
         return;
     }
+    error_code ignored;
+    const bool hasUnreadBytes = m_phase == Phase::Idle && m_socket.available(ignored) > 0;
     m_phase = Phase::Closed;
     m_deadline = farFuture;
-    error_code ignored;
     m_socket.close(ignored);
     if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+        state->m_statistics.m_closedWithUnreadBytes += hasUnreadBytes ? 1 : 0;
         state->m_sessions.erase(shared_from_this());
         state->m_statistics.m_connections = state->m_sessions.size();
     }
