Answer every request before a planned stop ends, and refuse what can't end in time

Cause: a request does not know that its process ends. Its deadline was its own, up to 10 s, whatever was left of the grace; it could work at a target, or wait for the budget of retries with nothing at work, until the exit cut it off. New requests were taken without a look at the rest of the grace. The exit followed the settings of the moment, so a SIGHUP could move it before the end of accepting.

Change: the times of the stop are fixed at SIGTERM (libs/shutdown). The engine caps each deadline, of requests in flight and of later ones, at the time of the last answers: 504 where a target may have run the request, 503 only where none has, the parts of a search that are in. Targets are told the time that is left. A request that arrives during the stop is refused at once, before it is passed on, unless its own limit ends in time or the slow requests of its route do (four times that for non-idempotent ones); the decision is logged with its inputs. The process ends when its connections are closed, not when no request is counted.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "shutdown/shutdown.h"
 
 //! @brief Forwards caller requests to targets, without performing I/O itself.
 //!
@@ -395,7 +396,10 @@
     Duration m_age{0};           //!< Since the request arrived.
     int m_status = 0;            //!< HTTP status of the answer or reply, or 0.
     std::size_t m_missing = 0;   //!< Shards without a reply.
-    bool m_mayBeSampled = false; //!< Success within the latency target; may be sampled.
+    //! For requests that arrive during a planned stop, otherwise empty.
+    std::optional<Duration> m_timeNeeded;
+    std::optional<Duration> m_timeUntilStop; //!< Until the last answers.
+    bool m_mayBeSampled = false;             //!< Success within the latency target; may be sampled.
 };
 
 //! @brief Receives the engine's commands. Implementations must not call the engine synchronously.
@@ -441,6 +445,8 @@
     std::uint64_t m_mismatches = 0; //!< Replies to a different request.
     std::uint64_t m_callerDisconnects = 0;
     std::uint64_t m_probes = 0;
+    std::uint64_t m_acceptedInShutdown = 0;
+    std::uint64_t m_refusedInShutdown = 0;
     std::size_t m_inFlight = 0; //!< Requests currently without an answer.
 };
 
@@ -468,6 +474,11 @@
     void setNodeCount(int nodes);
 
     void submit(TimePoint now, const ForwardRequestPointer &request);
+
+    //! @brief Answers all requests, present and later ones, before the end of a planned stop, and
+    //! refuses those that are not expected to end by then.
+    void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
+
     void callerDisconnected(TimePoint now, std::uint64_t caller);
     void attemptEnded(TimePoint now, std::uint64_t attempt, ForwardEnd end, TargetReply reply);
     void probeEnded(TimePoint now, const TargetPointer &target, bool connected);
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -13,6 +13,7 @@
     LatencyHistogram m_histogram;
     int m_samplesSinceUpdate = 0;
     Duration m_typicalLatency{0};  //!< Median; an estimate until there are enough samples.
+    Duration m_slowLatency{0};     //!< High quantile; the latency target until there are samples.
     Duration m_hedgeDelay{0};      //!< Delay before a hedge.
     Duration m_maximumTimeLeft{0}; //!< Longest time to deadline seen on this route.
 };
@@ -126,6 +127,9 @@
     void startRequest(TimePoint now, const ForwardRequestPointer &request, const Route &route);
     void refuseRequest(const ForwardRequest &request, AnswerKind kind, int status,
                        std::string_view reason, std::optional<Duration> retryAfter);
+    void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
+    void limitToShutdown(PendingRequest &pending);
+    bool acceptsInShutdown(TimePoint now, const PendingRequest &pending);
     void callerDisconnected(TimePoint now, std::uint64_t caller);
     void advance(TimePoint now);
     void handleTimer(TimePoint now, const Timer &timer);
@@ -172,6 +176,7 @@
     void answerSingle(TimePoint now, PendingRequest &pending);
     void answerSearch(TimePoint now, PendingRequest &pending);
     void logUnansweredSubrequests(TimePoint now, const PendingRequest &pending) const;
+    void answerAtDeadline(TimePoint now, PendingRequest &pending);
     void failRequest(TimePoint now, PendingRequest &pending, bool timedOut);
     void sendAnswer(TimePoint now, PendingRequest &pending, ForwardAnswer answer);
     void logDecision(TimePoint now, const PendingRequest &pending, std::size_t subrequestIndex,
@@ -182,6 +187,7 @@
 
     ForwardOptions m_options;
     TimePoint m_startedAt;
+    std::optional<ShutdownSchedule> m_shutdown; //!< Empty until a planned stop begins.
     ForwardOutput &m_output;
     RoutingTablePointer m_routingTable;
     TargetRegistry m_registry;
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -18,6 +18,9 @@
 // half a second on average.
 constexpr Duration unreachableRetryAfter = 500ms;
 
+// Other nodes serve the request at once.
+constexpr Duration shutdownRetryAfter = 0ms;
+
 // How long after a refusal for lack of targets isIsolated() may return true.
 constexpr Duration unreachablePeriod = 2s;
 
@@ -77,6 +80,11 @@
     m_implementation->submit(now, request);
 }
 
+void ForwardEngine::beginShutdown(TimePoint now, const ShutdownSchedule &schedule)
+{
+    m_implementation->beginShutdown(now, schedule);
+}
+
 void ForwardEngine::callerDisconnected(TimePoint now, std::uint64_t caller)
 {
     m_implementation->callerDisconnected(now, caller);
@@ -189,9 +197,14 @@
                       unreachableRetryAfter);
         return;
     }
+    if (m_shutdown && !acceptsInShutdown(now, pending)) {
+        refuseRequest(*request, AnswerKind::Refused, 503, "shutting-down", shutdownRetryAfter);
+        return;
+    }
     m_pendingIdByCaller[request->m_caller] = pending.m_id;
     const std::uint64_t id = pending.m_id;
     m_pendingRequests[id] = std::move(owned);
+    limitToShutdown(pending);
     addTimer(pending.m_deadline, TimerKind::Deadline, id);
     addTimer(now + schedule.m_refusal, TimerKind::QueueTimeout, id);
     if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
@@ -205,6 +218,50 @@
     }
 }
 
+void ForwardEngine::Implementation::beginShutdown(TimePoint now, const ShutdownSchedule &schedule)
+{
+    m_shutdown = schedule;
+    for (const std::pair<const std::uint64_t, std::unique_ptr<PendingRequest>> &entry :
+         m_pendingRequests) {
+        PendingRequest &pending = *entry.second;
+        const TimePoint deadline = pending.m_deadline;
+        limitToShutdown(pending);
+        if (pending.m_deadline < deadline) {
+            addTimer(pending.m_deadline, TimerKind::Deadline, pending.m_id);
+        }
+    }
+    advance(now);
+}
+
+void ForwardEngine::Implementation::limitToShutdown(PendingRequest &pending)
+{
+    if (m_shutdown) {
+        pending.m_deadline = std::min(pending.m_deadline, m_shutdown->m_answerBy);
+        pending.m_partialAnswerAt = std::min(pending.m_partialAnswerAt, m_shutdown->m_answerBy);
+    }
+}
+
+bool ForwardEngine::Implementation::acceptsInShutdown(TimePoint now, const PendingRequest &pending)
+{
+    RequestEstimate estimate;
+    estimate.m_limit = pending.m_deadline - now;
+    estimate.m_slowLatency =
+        std::max(pending.m_route->m_latencyTarget, pending.m_routeLatency->m_slowLatency);
+    estimate.m_idempotent = pending.m_route->m_idempotent;
+    const bool accepted = canFinish(*m_shutdown, now, estimate);
+    ++(accepted ? m_statistics.m_acceptedInShutdown : m_statistics.m_refusedInShutdown);
+    ForwardDecision decision;
+    decision.m_event = "shutdown-admission";
+    decision.m_reason = accepted ? "fits" : "outlasts-stop";
+    decision.m_requestId = pending.m_request->m_requestId;
+    decision.m_route = pending.m_route->m_name;
+    decision.m_version = pending.m_routingTable->m_version;
+    decision.m_timeNeeded = timeNeeded(estimate);
+    decision.m_timeUntilStop = m_shutdown->m_answerBy - now;
+    m_output.record(decision);
+    return accepted;
+}
+
 void ForwardEngine::Implementation::callerDisconnected(TimePoint now, std::uint64_t caller)
 {
     const std::unordered_map<std::uint64_t, std::uint64_t>::iterator found =
@@ -271,7 +328,7 @@
         answerIfReady(now, *pending);
         break;
     case TimerKind::Deadline:
-        failRequest(now, *pending, true);
+        answerAtDeadline(now, *pending);
         break;
     case TimerKind::QueueTimeout:
         if (std::all_of(
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -280,6 +280,18 @@
     }
 }
 
+void ForwardEngine::Implementation::answerAtDeadline(TimePoint now, PendingRequest &pending)
+{
+    // A planned stop may bring the deadline forward, before the time of a partial answer.
+    const bool hasPartialAnswer = !pending.m_route->m_shards.empty()
+                                  && hasEnoughShards(*pending.m_route, pending.m_succeededCount);
+    if (hasPartialAnswer) {
+        answerSearch(now, pending);
+    } else {
+        failRequest(now, pending, true);
+    }
+}
+
 void ForwardEngine::Implementation::failRequest(TimePoint now, PendingRequest &pending,
                                                 bool timedOut)
 {
--- a/libs/forwarding/src/timing.cpp
+++ b/libs/forwarding/src/timing.cpp
@@ -16,6 +16,7 @@
 constexpr int initialHedgeDelayDivisor = 3;
 
 constexpr double hedgeQuantile = 0.95;
+constexpr double slowQuantile = 0.99;
 constexpr double hedgeQuantileFactor = 1.25;
 constexpr double minimumHedgeMedianFactor = 1.8;
 constexpr Duration minimumHedgeDelay = 3ms;
@@ -29,6 +30,7 @@
         statistics = std::make_unique<RouteLatency>();
         statistics->m_typicalLatency = route.m_latencyTarget / initialLatencyDivisor;
         statistics->m_hedgeDelay = route.m_latencyTarget / initialHedgeDelayDivisor;
+        statistics->m_slowLatency = route.m_latencyTarget;
     }
     return *statistics;
 }
@@ -41,6 +43,7 @@
     }
     statistics.m_samplesSinceUpdate = 0;
     statistics.m_typicalLatency = latencyQuantile(statistics.m_histogram, 0.5);
+    statistics.m_slowLatency = latencyQuantile(statistics.m_histogram, slowQuantile);
     const Duration tail = latencyQuantile(statistics.m_histogram, hedgeQuantile);
     statistics.m_hedgeDelay = std::max(
         {minimumHedgeDelay, std::chrono::duration_cast<Duration>(tail * hedgeQuantileFactor),
--- /dev/null
+++ b/libs/forwarding/tests/shutdowntest.cpp
@@ -0,0 +1,120 @@
+#include <algorithm>
+
+#include <gmock/gmock.h>
+
+#include "enginefixture.h"
+
+namespace arbutusgrade {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class EngineShutdown : public EngineTest
+{
+protected:
+    //! @brief Begins a stop in which the last answers are sent after the given time.
+    void beginShutdown(Duration answerTime)
+    {
+        m_engine.beginShutdown(now(),
+                               ShutdownSchedule{now(), now() + answerTime, now() + answerTime,
+                                                now() + answerTime + 250ms});
+    }
+
+    //! @brief Submits requests that fail at their targets until one waits for its retry.
+    void useUpRetryBudget()
+    {
+        const std::string delayed = "retry-delayed:no-budget";
+        for (int request = 0; request < 200; ++request) {
+            submit("/orders/x");
+            replyStatus(lastOrder(), 500, false);
+            if (std::find(m_output.m_events.begin(), m_output.m_events.end(), delayed)
+                != m_output.m_events.end()) {
+                return;
+            }
+            replyStatus(lastOrder(), 500, false);
+        }
+        FAIL() << "the budget of retries was not used up";
+    }
+};
+
+} // namespace
+
+// Guards against a request in flight that ends without an answer when the process exits.
+TEST_F(EngineShutdown, AnswersRequestsInFlightBeforeTheEnd)
+{
+    submit("/orders/x");
+    beginShutdown(1s);
+    advanceTime(999ms);
+    EXPECT_TRUE(m_output.m_answers.empty());
+    advanceTime(1ms);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 504);
+    EXPECT_EQ(m_engine.statistics().m_inFlight, 0U);
+}
+
+// Guards against losing the parts that a search has when the process exits.
+TEST_F(EngineShutdown, AnswersASearchWithThePartsThatAreIn)
+{
+    submit("/search/x");
+    replySuccess(m_output.m_orders[0]);
+    beginShutdown(100ms);
+    advanceTime(100ms);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 200);
+    EXPECT_EQ(m_output.m_answers[0].m_missingShards, 1U);
+}
+
+// Guards against a request that waits for the budget of retries until the process has exited,
+// although no target works on it.
+TEST_F(EngineShutdown, AnswersARequestThatWaitsForARetry)
+{
+    m_table.m_routes[1].m_idempotent = true;
+    applyTable(2);
+    useUpRetryBudget();
+    ASSERT_EQ(m_engine.statistics().m_inFlight, 1U);
+    beginShutdown(100ms);
+    advanceTime(100ms);
+    EXPECT_EQ(m_engine.statistics().m_inFlight, 0U);
+}
+
+// Guards against passing on a request that cannot be answered before the process exits.
+TEST_F(EngineShutdown, RefusesRequestsThatOutlastTheProcess)
+{
+    beginShutdown(500ms);
+    submit("/orders/x");
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 503);
+    EXPECT_EQ(m_output.m_answers[0].m_kind, AnswerKind::Refused);
+    EXPECT_EQ(m_output.m_answers[0].m_retryAfter, Duration(0));
+    EXPECT_TRUE(m_output.m_orders.empty());
+    submit("/search/x");
+    EXPECT_EQ(m_output.m_orders.size(), 2U);
+    EXPECT_THAT(m_output.m_events, testing::IsSupersetOf({"shutdown-admission:outlasts-stop",
+                                                          "shutdown-admission:fits"}));
+}
+
+// Guards against refusing requests by their latency target on a route that is known to be slower.
+TEST_F(EngineShutdown, ExpectsTheLatencyThatARouteHasShown)
+{
+    for (int request = 0; request < 40; ++request) {
+        submit("/orders/x");
+        advanceTime(900ms);
+        replySuccess(lastOrder());
+    }
+    m_output.m_answers.clear();
+    beginShutdown(1'500ms);
+    submit("/orders/x");
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 503);
+}
+
+// Guards against targets that work on after the process has exited.
+TEST_F(EngineShutdown, TellsTargetsTheTimeThatIsLeft)
+{
+    beginShutdown(1s);
+    submit("/orders/x");
+    EXPECT_EQ(lastOrder().m_timeLeft, 1s);
+}
+
+} // namespace arbutusgrade
--- a/libs/gatewaynode/src/decisionlog.cpp
+++ b/libs/gatewaynode/src/decisionlog.cpp
@@ -39,6 +39,12 @@
     if (decision.m_missing > 0) {
         fields["missing"] = decision.m_missing;
     }
+    if (decision.m_timeNeeded) {
+        fields["timeNeededMicroseconds"] = decision.m_timeNeeded->count();
+    }
+    if (decision.m_timeUntilStop) {
+        fields["timeUntilStopMicroseconds"] = decision.m_timeUntilStop->count();
+    }
     m_log.write(LogLevel::Info, decision.m_event, "", fields);
 }
 
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -43,7 +43,7 @@
 
     void beginShutdown(std::function<void()> finished);
     void stopAccepting();
-    void waitForRequests();
+    void waitForConnections();
     void endShutdown();
     void logUnansweredRequests();
 
@@ -78,7 +78,7 @@
     boost::asio::steady_timer m_shutdownTimer;
     TimePoint m_lastBootTime;
     TimePoint m_lastSteadyTime;
-    TimePoint m_shutdownStarted;
+    ShutdownSchedule m_shutdown; //!< Set when a planned stop begins.
     std::function<void()> m_shutdownFinished;
     bool m_shuttingDown = false;
     bool m_loggedReady = false;
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -37,6 +37,10 @@
             engine.m_callerDisconnects);
     counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
             engine.m_probes);
+    addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
+               static_cast<double>(engine.m_acceptedInShutdown), {{"decision", "accepted"}});
+    addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
+               static_cast<double>(engine.m_refusedInShutdown), {{"decision", "refused"}});
     counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
     counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
             client.m_connectFailures);
--- a/libs/gatewaynode/src/shutdown.cpp
+++ b/libs/gatewaynode/src/shutdown.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "details/nodeimplementation.h"
 
 namespace arbutusgrade {
@@ -12,7 +10,10 @@
 // New connections arrive until then and for slightly longer; the rest of the shutdown grace is
 // reserved for requests in flight.
 constexpr std::chrono::milliseconds requestDrainTime{1'700};
+
+// The process ends by itself before the platform kills it.
 constexpr std::chrono::milliseconds shutdownMargin{250};
+
 constexpr std::chrono::milliseconds drainPollInterval{20};
 
 // Bounds the lines that a shutdown writes; the count of all requests is logged beside them.
@@ -26,15 +27,18 @@
         return;
     }
     m_shuttingDown = true;
-    m_shutdownStarted = bootTimeNow();
+    const TimePoint now = bootTimeNow();
+    m_shutdown = scheduleShutdown(now, m_settings.m_shutdownGrace - requestDrainTime,
+                                  m_settings.m_shutdownGrace - shutdownMargin);
     m_shutdownFinished = std::move(finished);
     m_log.write(LogLevel::Info, "shutdown-begun",
                 "requests are accepted until the load balancer has removed this node",
                 {{"graceMilliseconds", m_settings.m_shutdownGrace.count()},
                  {"requestsInFlight", m_pendingExchanges.size()}});
     m_callerServer.announceClose();
-    m_shutdownTimer.expires_after(
-        std::max(std::chrono::milliseconds(0), m_settings.m_shutdownGrace - requestDrainTime));
+    m_engine.beginShutdown(now, m_shutdown);
+    armEngineTimer();
+    m_shutdownTimer.expires_after(m_shutdown.m_acceptUntil - now);
     m_shutdownTimer.async_wait([this](error_code error) {
         if (!error) {
             stopAccepting();
@@ -47,26 +51,26 @@
     const HttpConnectionCounts before = m_callerServer.connectionCounts();
     m_callerServer.stopAccepting();
     m_log.write(LogLevel::Info, "accepting-ended", "",
-                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdownStarted).count()},
+                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdown.m_begunAt).count()},
                  {"requestsInFlight", m_callerServer.requestsInFlight()},
                  {"idleConnections", before.m_idle}});
     m_storeSync.stop();
     m_membership->stop();
-    waitForRequests();
+    waitForConnections();
 }
 
-void GatewayNode::Implementation::waitForRequests()
+void GatewayNode::Implementation::waitForConnections()
 {
-    const bool graceOver =
-        bootTimeNow() - m_shutdownStarted >= m_settings.m_shutdownGrace - shutdownMargin;
-    if (m_callerServer.requestsInFlight() == 0 || graceOver) {
+    // A connection that is not closed yet may hold an answer that its caller has not read.
+    const bool allClosed = m_callerServer.statistics().m_connections == 0;
+    if (allClosed || bootTimeNow() >= m_shutdown.m_exitBy) {
         endShutdown();
         return;
     }
     m_shutdownTimer.expires_after(drainPollInterval);
     m_shutdownTimer.async_wait([this](error_code error) {
         if (!error) {
-            waitForRequests();
+            waitForConnections();
         }
     });
 }
@@ -76,7 +80,7 @@
     logUnansweredRequests();
     const HttpConnectionCounts counts = m_callerServer.connectionCounts();
     m_log.write(LogLevel::Info, "shutdown-ended", "",
-                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdownStarted).count()},
+                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdown.m_begunAt).count()},
                  {"requestsInFlight", m_callerServer.requestsInFlight()},
                  {"unanswered", m_pendingExchanges.size()},
                  {"reading", counts.m_reading},
@@ -100,7 +104,7 @@
                     {{"request", exchange.m_requestId},
                      {"ageMicroseconds", (now - exchange.m_arrived).count()},
                      {"arrivedSinceShutdownMicroseconds",
-                      (exchange.m_arrived - m_shutdownStarted).count()}});
+                      (exchange.m_arrived - m_shutdown.m_begunAt).count()}});
     }
 }
 
--- a/libs/shutdown/src/shutdown.cpp
+++ b/libs/shutdown/src/shutdown.cpp
@@ -9,7 +9,7 @@
 // Time for the final answers to be written and read before the process ends.
 constexpr Duration answerTime = std::chrono::milliseconds(250);
 
-constexpr int nonIdempotentFactor = 2;
+constexpr int nonIdempotentFactor = 4;
 
 } // namespace
 
--- a/tests/plannedstop/callers.h
+++ b/tests/plannedstop/callers.h
@@ -8,6 +8,10 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
 #include "support/process.h"
 
 namespace arbutusgrade::support {
@@ -30,6 +34,30 @@
     std::string m_end; //!< Error of the connection; empty after an answer.
 };
 
+//! @brief A caller's kept connection, used by one thread.
+class CallerConnection
+{
+public:
+    CallerConnection();
+    ~CallerConnection();
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
+
+    bool open(std::uint16_t port);
+    bool isOpen() const;
+
+    //! @brief Sends the request and fills in its status, or how the connection ended.
+    void exchange(SentRequest &request);
+
+private:
+    void close();
+    void runFor(milliseconds time);
+
+    boost::asio::io_context m_context;
+    std::optional<boost::asio::ip::tcp::socket> m_socket;
+    boost::beast::flat_buffer m_buffer;
+};
+
 //! @brief Gateways that get new connections: a load balancer that checks readiness once a second
 //! and takes a gateway out after two failed checks.
 class Rotation
--- a/tests/plannedstop/plannedstoptest.cpp
+++ b/tests/plannedstop/plannedstoptest.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -18,6 +19,15 @@
     return program != nullptr ? program : programDirectory + "/arbutusgrade-gateway";
 }
 
+GatewaySiteOptions siteOptions(std::uint64_t seed)
+{
+    GatewaySiteOptions options;
+    options.m_seed = seed;
+    options.m_programs = programDirectory;
+    options.m_gateway = gatewayProgram();
+    return options;
+}
+
 struct SeedRange
 {
     std::uint64_t m_first = 1;
@@ -49,9 +59,7 @@
     const SeedRange range = seedRange();
     for (std::uint64_t seed = range.m_first; seed <= range.m_last; ++seed) {
         StopRoundOptions options;
-        options.m_seed = seed;
-        options.m_programs = programDirectory;
-        options.m_gateway = gatewayProgram();
+        options.m_site = siteOptions(seed);
         const StopRoundResult result = playStopRound(options);
         printCounts(seed, result.m_counts);
         for (const std::string &violation : result.m_violations) {
@@ -60,5 +68,64 @@
     }
 }
 
+//! @brief One request before the stop, and a long one late in the grace on the same connection.
+SentRequest playLateRequest(GatewaySite &site, int number, milliseconds sendAt)
+{
+    CallerConnection connection;
+    SentRequest first;
+    first.m_id = "first-" + std::to_string(number);
+    first.m_path = "/manual/work-120";
+    EXPECT_TRUE(connection.open(site.callerPorts().front()));
+    connection.exchange(first);
+    EXPECT_EQ(first.m_status, 200);
+    std::this_thread::sleep_for(sendAt - timeSince(site.start()));
+    SentRequest late;
+    late.m_id = "late-" + std::to_string(number);
+    late.m_idempotent = number % 2 == 0;
+    late.m_path = late.m_idempotent ? "/manual/work-3200" : "/order/work-3200";
+    connection.exchange(late);
+    return late;
+}
+
+// Guards against taking requests late in the grace and cutting them off at its end, above all those
+// that may not be repeated.
+TEST(PlannedStop, CutsNoRequestThatComesLateOnAKeptConnection)
+{
+    constexpr int callers = 12;
+    constexpr milliseconds firstSend{3'700};
+    constexpr milliseconds lastSend{4'200};
+    GatewaySiteOptions options = siteOptions(1);
+    options.m_gatewayCount = 1;
+    options.m_failurePercent = 0;
+    GatewaySite site(options);
+    const milliseconds stopAt = timeSince(site.start()) + milliseconds(1'000);
+    std::vector<SentRequest> requests(callers);
+    std::vector<std::thread> threads;
+    for (int number = 0; number < callers; ++number) {
+        const milliseconds sendAt =
+            stopAt + firstSend + (lastSend - firstSend) * number / (callers - 1);
+        threads.emplace_back([&site, &requests, number, sendAt] {
+            requests[static_cast<std::size_t>(number)] = playLateRequest(site, number, sendAt);
+        });
+    }
+    std::this_thread::sleep_for(stopAt - timeSince(site.start()));
+    site.gateway(0).sendSignal(SIGTERM);
+    const std::optional<ExitState> end = site.gateway(0).wait(options.m_grace);
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    ASSERT_TRUE(end.has_value()) << "the gateway did not end within its grace";
+    EXPECT_EQ(end->m_code, 0);
+    const std::map<std::string, std::vector<TargetRun>> runs = site.runs();
+    for (const SentRequest &request : requests) {
+        const std::string log = site.logLines(0, '"' + request.m_id + '"');
+        EXPECT_NE(request.m_status, 0) << request.m_id << " " << request.m_end << log;
+        if (!request.m_idempotent) {
+            EXPECT_EQ(request.m_status, 503) << request.m_id << log;
+            EXPECT_EQ(runs.count(request.m_id), 0U) << request.m_id << log;
+        }
+    }
+}
+
 } // namespace
 } // namespace arbutusgrade::support
