--- a/libs/forwarding/tests/enginefixture.cpp
+++ b/libs/forwarding/tests/enginefixture.cpp
@@ -156,6 +156,22 @@
     m_engine.attemptEnded(m_now, order.m_attempt, ForwardEnd::Reply, reply);
 }
 
+void EngineTest::useUpRetryBudget()
+{
+    constexpr int maximumRequests = 200;
+    const std::string delayed = "retry-delayed:no-budget";
+    for (int request = 0; request < maximumRequests; ++request) {
+        submit("/orders/x");
+        replyStatus(lastOrder(), 500, false);
+        if (std::find(m_output.m_events.begin(), m_output.m_events.end(), delayed)
+            != m_output.m_events.end()) {
+            return;
+        }
+        replyStatus(lastOrder(), 500, false);
+    }
+    FAIL() << "the budget of retries was not used up";
+}
+
 std::vector<ForwardCommand> EngineTest::ordersFor(std::string_view service) const
 {
     std::vector<ForwardCommand> orders;
--- a/libs/forwarding/tests/enginefixture.h
+++ b/libs/forwarding/tests/enginefixture.h
@@ -62,6 +62,10 @@
     //! @brief Ends the attempt of an order with a reply of the given status.
     void replyStatus(const ForwardCommand &order, int status, bool notExecuted);
 
+    //! @brief Submits requests to "orders" that fail at their targets, until one waits for its
+    //! retry.
+    void useUpRetryBudget();
+
     //! @brief Returns the orders sent to a service, oldest first.
     std::vector<ForwardCommand> ordersFor(std::string_view service) const;
     const ForwardCommand &lastOrder() const;
