Relay a target's error reply instead of holding it while a retry waits

Cause: without budget for another attempt the engine waited for one until the deadline, and the deadline was answered with a timeout although a reply of the target was at hand.

Change: the wait for the retry ends at the latency target, and the deadline relays the reply that is there. A request that was lost without a reply still waits, as it has nothing to relay; so do the parts of a search.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -204,6 +204,12 @@
         failSubrequest(now, pending, index, "targets-unreachable");
         return;
     }
+    const TimePoint waitEnd = pending.m_arrivedAt + pending.m_route->m_latencyTarget;
+    if (subrequest.m_hasErrorReply && now >= waitEnd) {
+        // The caller gets the target's answer while it can still use it.
+        failSubrequest(now, pending, index, subrequest.m_failureReason);
+        return;
+    }
     if (!std::exchange(subrequest.m_retryDelayed, true)) {
         logDecision(now, pending, index, "retry-delayed",
                     result == SendResult::NoBudget ? "no-budget" : "no-target", {}, 0);
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -285,8 +285,12 @@
     // A planned stop may bring the deadline forward, before the time of a partial answer.
     const bool hasPartialAnswer = !pending.m_route->m_shards.empty()
                                   && hasEnoughShards(*pending.m_route, pending.m_succeededCount);
+    const bool hasErrorReply =
+        pending.m_route->m_shards.empty() && pending.m_subrequests.front().m_hasErrorReply;
     if (hasPartialAnswer) {
         answerSearch(now, pending);
+    } else if (hasErrorReply) {
+        answerSingle(now, pending);
     } else {
         failRequest(now, pending, true);
     }
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -359,6 +359,37 @@
     EXPECT_TRUE(m_output.m_crashCounts.empty());
 }
 
+// Guards against keeping a target's error reply from the caller until its deadline, while the
+// budget allows no retry.
+TEST_F(EngineTest, RelaysAnErrorReplyWhenTheRetryWaitsBeyondTheLatencyTarget)
+{
+    m_table.m_routes[1].m_idempotent = true;
+    applyTable(2);
+    useUpRetryBudget();
+    m_output.m_answers.clear();
+    ASSERT_EQ(m_engine.statistics().m_inFlight, 1U);
+    advanceTime(350ms);
+    EXPECT_TRUE(m_output.m_answers.empty());
+    advanceTime(100ms);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_kind, AnswerKind::Relayed);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 500);
+}
+
+// Guards against a timeout in place of the error reply that a target has given in time.
+TEST_F(EngineTest, RelaysAnErrorReplyAtTheDeadline)
+{
+    m_table.m_routes[1].m_idempotent = true;
+    m_table.m_routes[1].m_latencyTarget = 5s;
+    applyTable(2);
+    useUpRetryBudget();
+    m_output.m_answers.clear();
+    advanceTime(2s);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_kind, AnswerKind::Relayed);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 500);
+}
+
 // Guards against a failed request whose cause is missing from the log.
 TEST_F(EngineTest, LogsTheCauseOfAFailedRequest)
 {
