--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -205,8 +205,7 @@
         return;
     }
     const TimePoint waitEnd = pending.m_arrivedAt + pending.m_route->m_latencyTarget;
-    if (subrequest.m_hasErrorReply && now >= waitEnd) {
-        // The caller gets the target's answer while it can still use it.
+    if (hasReplyToRelay(pending) && now >= waitEnd) {
         failSubrequest(now, pending, index, subrequest.m_failureReason);
         return;
     }
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -209,6 +209,10 @@
 //! @brief Adds the latency of a successful attempt to the statistics of its route.
 void recordRouteLatency(RouteLatency &statistics, Duration latency);
 
+//! @brief Returns whether a target has replied with an error that may be relayed to the caller. The
+//! parts of a search are never relayed.
+bool hasReplyToRelay(const PendingRequest &pending);
+
 //! @brief Returns whether the number of shards included is enough for a success.
 bool hasEnoughShards(const Route &route, std::size_t included);
 
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -99,6 +99,11 @@
     return included > 0 && static_cast<double>(included) >= needed - tolerance;
 }
 
+bool hasReplyToRelay(const PendingRequest &pending)
+{
+    return pending.m_route->m_shards.empty() && pending.m_subrequests.front().m_hasErrorReply;
+}
+
 void ForwardEngine::Implementation::attemptEnded(TimePoint now, std::uint64_t id, ForwardEnd end,
                                                  TargetReply reply)
 {
@@ -285,11 +290,9 @@
     // A planned stop may bring the deadline forward, before the time of a partial answer.
     const bool hasPartialAnswer = !pending.m_route->m_shards.empty()
                                   && hasEnoughShards(*pending.m_route, pending.m_succeededCount);
-    const bool hasErrorReply =
-        pending.m_route->m_shards.empty() && pending.m_subrequests.front().m_hasErrorReply;
     if (hasPartialAnswer) {
         answerSearch(now, pending);
-    } else if (hasErrorReply) {
+    } else if (hasReplyToRelay(pending)) {
         answerSingle(now, pending);
     } else {
         failRequest(now, pending, true);
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -376,6 +376,23 @@
     EXPECT_EQ(m_output.m_answers[0].m_status, 500);
 }
 
+// Guards against failing a search at its latency target while a shard can still be retried.
+TEST_F(EngineTest, KeepsWaitingForTheRetryOfAShard)
+{
+    m_table.m_routes[0].m_minimumShardShare = 1.0;
+    applyTable(2);
+    submit("/search/x");
+    for (const std::string_view id : {"shard-1b", "shard-1c"}) {
+        m_engine.registry().m_targets[std::string(id)]->m_inFlight.assign(
+            16, OutstandingAttempt{0, farFuture});
+    }
+    const TargetPointer first = m_output.m_orders[0].m_target;
+    first->m_inFlight.resize(16, OutstandingAttempt{0, farFuture});
+    replyStatus(m_output.m_orders[0], 500, false);
+    advanceTime(400ms);
+    EXPECT_TRUE(m_output.m_answers.empty());
+}
+
 // Guards against a timeout in place of the error reply that a target has given in time.
 TEST_F(EngineTest, RelaysAnErrorReplyAtTheDeadline)
 {
