Look for open connections only after the accepted ones have their session

A planned stop looked at once whether all connections are closed. A connection that the system had handed over in the same turn of the event loop has no session then, and the process could end before it was served.

--- a/libs/gatewaynode/src/shutdown.cpp
+++ b/libs/gatewaynode/src/shutdown.cpp
@@ -61,15 +61,17 @@
 
 void GatewayNode::Implementation::waitForConnections()
 {
-    // A connection that is not closed yet may hold an answer that its caller has not read.
-    const bool allClosed = m_callerServer.statistics().m_connections == 0;
-    if (allClosed || bootTimeNow() >= m_shutdown.m_exitBy) {
-        endShutdown();
-        return;
-    }
+    // The first look is not at once, as a connection that was just accepted has no session yet.
     m_shutdownTimer.expires_after(drainPollInterval);
     m_shutdownTimer.async_wait([this](error_code error) {
-        if (!error) {
+        if (error) {
+            return;
+        }
+        // A connection that is not closed yet may hold an answer that its caller has not read.
+        const bool allClosed = m_callerServer.statistics().m_connections == 0;
+        if (allClosed || bootTimeNow() >= m_shutdown.m_exitBy) {
+            endShutdown();
+        } else {
             waitForConnections();
         }
     });
