Send the last answers before the exit also after a stall

Eight requests were in flight in a planned stop, and the process was stopped from 5.48 s to 5.83 s after SIGTERM: the timer that looks for the end fired before the engine's timer of the last answers, and the process exited with the requests unanswered. Before each look the engine now does what is due.

--- a/libs/gatewaynode/src/lifecycle.cpp
+++ b/libs/gatewaynode/src/lifecycle.cpp
@@ -67,6 +67,8 @@
         if (error) {
             return;
         }
+        // After a stall of the process the last answers may still be due.
+        m_engine.advance(bootTimeNow());
         // A connection that is not closed yet may hold an answer that its caller has not read.
         const bool allClosed = m_callerServer.statistics().m_connections == 0;
         if (allClosed || bootTimeNow() >= m_shutdown.m_exitBy) {
--- a/tests/plannedstop/plannedstoptest.cpp
+++ b/tests/plannedstop/plannedstoptest.cpp
@@ -68,8 +68,8 @@
     }
 }
 
-//! @brief One request before the stop, and a long one late in the grace on the same connection.
-SentRequest playLateRequest(GatewaySite &site, int number, milliseconds sendAt)
+//! @brief A short request, and at the given time a long one on the same connection.
+SentRequest playLateRequest(GatewaySite &site, int number, milliseconds sendAt, int workMs)
 {
     CallerConnection connection;
     SentRequest first;
@@ -82,7 +82,7 @@
     SentRequest late;
     late.m_id = "late-" + std::to_string(number);
     late.m_idempotent = number % 2 == 0;
-    late.m_path = late.m_idempotent ? "/manual/work-3200" : "/order/work-3200";
+    late.m_path = (late.m_idempotent ? "/manual/work-" : "/order/work-") + std::to_string(workMs);
     connection.exchange(late);
     return late;
 }
@@ -105,7 +105,8 @@
         const milliseconds sendAt =
             stopAt + firstSend + (lastSend - firstSend) * number / (callers - 1);
         threads.emplace_back([&site, &requests, number, sendAt] {
-            requests[static_cast<std::size_t>(number)] = playLateRequest(site, number, sendAt);
+            requests[static_cast<std::size_t>(number)] =
+                playLateRequest(site, number, sendAt, 3'200);
         });
     }
     std::this_thread::sleep_for(stopAt - timeSince(site.start()));
@@ -127,5 +128,42 @@
     }
 }
 
+// Guards against an exit that comes before the last answers when the process stalls near the end of
+// its grace.
+TEST(PlannedStop, AnswersRequestsInFlightAfterAStallAtTheEnd)
+{
+    constexpr int callers = 8;
+    constexpr milliseconds stallAt{5'480};
+    constexpr milliseconds stall{350};
+    GatewaySiteOptions options = siteOptions(1);
+    options.m_gatewayCount = 1;
+    options.m_failurePercent = 0;
+    GatewaySite site(options);
+    const milliseconds stopAt = timeSince(site.start()) + milliseconds(500);
+    std::vector<SentRequest> requests(callers);
+    std::vector<std::thread> threads;
+    for (int number = 0; number < callers; ++number) {
+        threads.emplace_back([&site, &requests, number, stopAt] {
+            requests[static_cast<std::size_t>(number)] =
+                playLateRequest(site, number, stopAt - milliseconds(100), 7'000);
+        });
+    }
+    std::this_thread::sleep_for(stopAt - timeSince(site.start()));
+    site.gateway(0).sendSignal(SIGTERM);
+    std::this_thread::sleep_for(stopAt + stallAt - timeSince(site.start()));
+    site.gateway(0).sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(stall);
+    site.gateway(0).sendSignal(SIGCONT);
+    const std::optional<ExitState> end = site.gateway(0).wait(milliseconds(500));
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    EXPECT_TRUE(end.has_value()) << "the gateway did not end";
+    for (const SentRequest &request : requests) {
+        EXPECT_EQ(request.m_status, 504)
+            << request.m_id << " " << request.m_end << site.logLines(0, '"' + request.m_id + '"');
+    }
+}
+
 } // namespace
 } // namespace arbutusgrade::support
