Answer requests that a caller sent ahead before a stop closes its connection

A connection with unread requests is now kept until they are answered. StopAnswersRequestsThatWereSentAhead failed before and passes.

--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -77,6 +77,7 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
+    bool hasUnreadRequest();
     void waitForRequest();
     void startReading();
     void handleHeader(boost::system::error_code error);
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -125,11 +125,16 @@
     }
 }
 
+bool HttpSession::hasUnreadRequest()
+{
+    error_code ignored;
+    return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+}
+
 void HttpSession::waitForRequest()
 {
     const std::shared_ptr<HttpServerState> state = m_state.lock();
-    error_code ignored;
-    if (!state || (state->m_stopping && m_socket.available(ignored) == 0)) {
+    if (!state || (state->m_stopping && !hasUnreadRequest())) {
         close();
         return;
     }
@@ -332,7 +337,9 @@
         return;
     }
     const std::shared_ptr<HttpServerState> state = m_state.lock();
-    const bool keepAlive = m_keepAlive && state && !state->m_announceClose && !state->m_stopping;
+    const bool isEnding = !state || state->m_announceClose || state->m_stopping;
+    // Requests that a caller has sent ahead are answered before the connection is closed.
+    const bool keepAlive = m_keepAlive && (!isEnding || hasUnreadRequest());
     write(std::move(response), keepAlive);
 }
 
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -200,6 +200,24 @@
     EXPECT_TRUE(notAccepted.received("Connection: close"));
 }
 
+// Guards against a planned stop that drops requests which a caller sent ahead on its connection.
+TEST_F(HttpServerTest, StopAnswersRequestsThatWereSentAhead)
+{
+    const std::string later = "POST /later HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    const std::string echo = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n";
+    RawClient client(m_context, m_server.port());
+    client.send(later + echo + "one" + echo + "two");
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_pending.size() == 1; }));
+    m_server.announceClose();
+    m_server.stopAccepting();
+    m_pending.front()(HttpResponse{200, "first", "text/plain", {}});
+    EXPECT_TRUE(runUntil(m_context, [&] { return client.isClosed(); }));
+    for (const std::string_view body : {"first", "one", "two"}) {
+        EXPECT_TRUE(client.received(body)) << body;
+    }
+    EXPECT_TRUE(client.received("Connection: close"));
+}
+
 // Guards against a shutdown that cuts off a request in flight or keeps idle connections.
 TEST_F(HttpServerTest, StopAnswersRequestInFlight)
 {
