Refuse entries and configurations whose numbers are out of range

Another writer may leave an entry with a number far too large. In a configuration, a limit of 4 GiB and 1 byte became 1 byte.

Cause: numbers were bounded below only, and then cut to 32 bits or converted from milliseconds to microseconds, which overflows a signed number.

--- a/libs/jsonreader/include/jsonreader/jsonreader.h
+++ b/libs/jsonreader/include/jsonreader/jsonreader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,11 +48,15 @@
 const json::value *readField(ObjectReader &reader, std::string_view field, FieldPresence presence);
 std::string readString(ObjectReader &reader, std::string_view field, FieldPresence presence,
                        std::size_t maximumBytes);
+
+//! @brief Returns a whole number within the bounds; 0 after a finding.
 std::int64_t readNumber(ObjectReader &reader, std::string_view field, FieldPresence presence,
-                        std::int64_t minimum);
+                        std::int64_t minimum,
+                        std::int64_t maximum = std::numeric_limits<std::int64_t>::max());
 
-//! @brief Returns any number; 0 after a finding.
-double readReal(ObjectReader &reader, std::string_view field, FieldPresence presence);
+//! @brief Returns a number within the bounds; 0 after a finding.
+double readReal(ObjectReader &reader, std::string_view field, FieldPresence presence,
+                double minimum, double maximum);
 
 const json::array *readArray(ObjectReader &reader, std::string_view field, FieldPresence presence);
 
--- a/libs/jsonreader/src/jsonreader.cpp
+++ b/libs/jsonreader/src/jsonreader.cpp
@@ -110,7 +110,7 @@
 }
 
 std::int64_t readNumber(ObjectReader &reader, std::string_view field, FieldPresence presence,
-                        std::int64_t minimum)
+                        std::int64_t minimum, std::int64_t maximum)
 {
     const json::value *const value = readField(reader, field, presence);
     if (value == nullptr) {
@@ -118,15 +118,18 @@
     }
     boost::system::error_code error;
     const std::int64_t number = value->is_double() ? 0 : value->to_number<std::int64_t>(error);
-    if (error || value->is_double() || number < minimum) {
+    if (error || value->is_double() || number < minimum || number > maximum) {
+        const bool isBounded = maximum < std::numeric_limits<std::int64_t>::max();
         addFieldFinding(reader, field,
-                        "must be a whole number of at least " + std::to_string(minimum));
+                        "must be a whole number of at least " + std::to_string(minimum)
+                            + (isBounded ? " and at most " + std::to_string(maximum) : ""));
         return 0;
     }
     return number;
 }
 
-double readReal(ObjectReader &reader, std::string_view field, FieldPresence presence)
+double readReal(ObjectReader &reader, std::string_view field, FieldPresence presence,
+                double minimum, double maximum)
 {
     const json::value *const value = readField(reader, field, presence);
     if (value == nullptr) {
@@ -134,8 +137,10 @@
     }
     boost::system::error_code error;
     const double number = value->to_number<double>(error);
-    if (error) {
-        addFieldFinding(reader, field, "must be a number");
+    if (error || number < minimum || number > maximum) {
+        addFieldFinding(reader, field,
+                        "must be a number from " + std::to_string(minimum) + " to "
+                            + std::to_string(maximum));
         return 0.0;
     }
     return number;
