Refuse values that are not wholly base64

A value that is only partly base64 was used as far as it could be read, so that an odd entry could name a target. Without padding, the decoder wrote beyond the bytes it had been given.

Cause: the library stops at the first other character, and writes up to two bytes more than it announces for a text whose length is no multiple of four.

Evidence: Base64.RefusesWhatIsNoBase64 accepted all 15 texts before, and StoreCalls.ValuesThatAreNoBase64AreEmpty read "aaa". In the sanitizers' build, the former decoder ended the first with a heap buffer overflow in the library.

Change: the length, the characters and the padding are checked. Such a value counts as empty, which names no target.

--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -445,7 +445,9 @@
 
 //! @brief Base64 of the standard alphabet with padding.
 std::string encodeBase64(std::string_view bytes);
-std::string decodeBase64(std::string_view text);
+
+//! @brief Returns nothing for a text that is not wholly base64 with padding.
+std::optional<std::string> decodeBase64(std::string_view text);
 
 // JSON text --------------------------------------------------------------------------------------
 
--- a/libs/transport/src/encodings.cpp
+++ b/libs/transport/src/encodings.cpp
@@ -33,10 +33,22 @@
     return text;
 }
 
-std::string decodeBase64(std::string_view text)
+std::optional<std::string> decodeBase64(std::string_view text)
 {
+    // The library stops at the first character that is no base64, and writes more than it announces
+    // when the padding is missing.
+    constexpr std::size_t groupCharacters = 4;
+    if (text.size() % groupCharacters != 0) {
+        return std::nullopt;
+    }
     std::string bytes(base64::decoded_size(text.size()), '\0');
-    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+    const std::pair<std::size_t, std::size_t> decoded =
+        base64::decode(bytes.data(), text.data(), text.size());
+    bytes.resize(decoded.first);
+    const std::string_view rest = text.substr(decoded.second);
+    if (!rest.empty() && rest != "=" && rest != "==") {
+        return std::nullopt;
+    }
     return bytes;
 }
 
