Go on with a listing after the greatest key of a page

A page whose last key cannot be read began the listing anew, without a pause and with all items kept, so that the memory would have run out.

Change: the next page begins after the greatest key; a page that does not advance counts as a failure and is retried with the usual delay.

--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -51,7 +51,7 @@
 
 private:
     void listPage(std::uint64_t generation, const std::string &after);
-    void handlePage(std::uint64_t generation, const MetadataPage &page);
+    void handlePage(std::uint64_t generation, const std::string &after, const MetadataPage &page);
     void completeListing(std::uint64_t generation);
     void catchUp(std::uint64_t generation);
     void watch(std::uint64_t generation);
--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -26,6 +26,15 @@
     }
 }
 
+std::string greatestKey(const std::vector<MetadataItem> &items)
+{
+    std::string greatest;
+    for (const MetadataItem &item : items) {
+        greatest = std::max(greatest, item.m_key);
+    }
+    return greatest;
+}
+
 } // namespace
 
 PrefixWatcher::PrefixWatcher(boost::asio::io_context &context, MetadataStore &store,
@@ -60,17 +69,21 @@
 void PrefixWatcher::listPage(std::uint64_t generation, const std::string &after)
 {
     m_store.list(m_prefix, after, m_consistency,
-                 [weak = weak_from_this(), generation](const MetadataPage &page) {
+                 [weak = weak_from_this(), generation, after](const MetadataPage &page) {
                      const std::shared_ptr<PrefixWatcher> self = weak.lock();
                      if (self && self->m_generation == generation) {
-                         self->handlePage(generation, page);
+                         self->handlePage(generation, after, page);
                      }
                  });
 }
 
-void PrefixWatcher::handlePage(std::uint64_t generation, const MetadataPage &page)
+void PrefixWatcher::handlePage(std::uint64_t generation, const std::string &after,
+                               const MetadataPage &page)
 {
-    if (page.m_status != MetadataStatus::Ok) {
+    // A key that cannot be read is empty, and an empty one would begin the listing anew.
+    const bool hasMore = page.m_hasMore && !page.m_items.empty();
+    const std::string last = hasMore ? greatestKey(page.m_items) : std::string();
+    if (page.m_status != MetadataStatus::Ok || (hasMore && last <= after)) {
         m_items.clear();
         scheduleRetry(generation, true);
         return;
@@ -79,8 +92,8 @@
     m_oldestRevision =
         m_items.empty() ? page.m_storeRevision : std::min(m_oldestRevision, page.m_storeRevision);
     m_items.insert(m_items.end(), page.m_items.begin(), page.m_items.end());
-    if (page.m_hasMore && !page.m_items.empty()) {
-        listPage(generation, page.m_items.back().m_key);
+    if (hasMore) {
+        listPage(generation, last);
         return;
     }
     m_revision = m_oldestRevision;
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -7,6 +7,9 @@
 {
     ++m_listCalls;
     m_strongListCalls += consistency == ReadConsistency::Strong ? 1 : 0;
+    if (m_listCalls > m_listLimit) {
+        return;
+    }
     MetadataPage page;
     page.m_status = m_listStatus;
     page.m_storeRevision = m_revision;
@@ -18,7 +21,8 @@
             page.m_hasMore = true;
             break;
         }
-        page.m_items.push_back(MetadataItem{item.first, item.second, m_revision});
+        page.m_items.push_back(
+            MetadataItem{m_unreadableKeys ? std::string() : item.first, item.second, m_revision});
     }
     handler(page);
 }
--- a/libs/gatewaynode/tests/fakestore.h
+++ b/libs/gatewaynode/tests/fakestore.h
@@ -39,6 +39,8 @@
     std::size_t m_pageSize = 2;
     std::uint64_t m_revision = 10;
     std::map<std::string, std::string> m_items;
+    bool m_unreadableKeys = false; //!< Pages have items without a key.
+    int m_listLimit = 100;         //!< List calls that are answered; later ones stay unanswered.
     std::vector<Watch> m_pendingWatches;
     int m_watchCalls = 0;
     int m_listCalls = 0;
--- a/libs/gatewaynode/tests/prefixwatchertest.cpp
+++ b/libs/gatewaynode/tests/prefixwatchertest.cpp
@@ -173,4 +173,19 @@
     EXPECT_EQ(m_itemCount, 1U);
 }
 
+// Guards against a listing without an end when the last key of a page cannot be read, so that the
+// next page would be the first one again.
+TEST_F(PrefixWatcherTest, PausesAListingThatDoesNotAdvance)
+{
+    m_store.m_items = {{"a", "1"}, {"b", "2"}, {"c", "3"}};
+    m_store.m_unreadableKeys = true;
+    m_watcher->start();
+    EXPECT_LE(m_store.m_listCalls, 2);
+    EXPECT_EQ(m_snapshotCount, 0);
+    m_store.m_unreadableKeys = false;
+    runFor(m_context, 400ms);
+    EXPECT_EQ(m_snapshotCount, 1);
+    EXPECT_EQ(m_itemCount, 3U);
+}
+
 } // namespace arbutusgrade
