Add crash counts of other nodes without overflow

Two counts at the limit of the type added up to -1, so that a request that crashes targets would have been sent again.

Evidence: in the sanitizers' build, the former sum ended the test Crashes.QuarantinesWhenCountsOfOtherNodesAreHuge with "signed integer overflow: 1 +".

Change: each count is taken up to the limit of the quarantine.

--- a/libs/forwarding/src/quarantine.cpp
+++ b/libs/forwarding/src/quarantine.cpp
@@ -38,9 +38,10 @@
     if (found == table.m_entries.end() || now >= found->second.m_expiresAt) {
         return false;
     }
-    int crashes = found->second.m_localCrashes;
+    int crashes = std::min(found->second.m_localCrashes, CrashTable::crashLimit);
     for (const std::pair<const std::string, int> &other : found->second.m_remoteCrashes) {
-        crashes += other.second;
+        // Counts of others are not checked; more than the limit adds nothing and may overflow.
+        crashes += std::min(other.second, CrashTable::crashLimit);
     }
     return crashes >= CrashTable::crashLimit;
 }
--- a/libs/forwarding/tests/routingtest.cpp
+++ b/libs/forwarding/tests/routingtest.cpp
@@ -1,5 +1,7 @@
 #include <array>
 
+#include <limits>
+
 #include <gtest/gtest.h>
 
 #include "forwarding/forwarding.h"
@@ -83,4 +85,19 @@
     EXPECT_FALSE(isQuarantined(table, now + CrashTable::retention, 1));
 }
 
+// Guards against counts whose sum overflows, so that a request that crashes targets is sent again.
+TEST(Crashes, QuarantinesWhenCountsOfOtherNodesAreHuge)
+{
+    CrashTable table;
+    const TimePoint now{std::chrono::hours(1)};
+    recordCrash(table, now, 1);
+    for (const char *const node : {"n2", "n3"}) {
+        mergeCrashCount(table, now, 1, node, std::numeric_limits<int>::max());
+    }
+    EXPECT_TRUE(isQuarantined(table, now, 1));
+    mergeCrashCount(table, now, 2, "n2", std::numeric_limits<int>::min());
+    mergeCrashCount(table, now, 2, "n3", 1);
+    EXPECT_FALSE(isQuarantined(table, now, 2));
+}
+
 } // namespace arbutusgrade
