--- a/libs/configuration/tests/configurationtest.cpp
+++ b/libs/configuration/tests/configurationtest.cpp
@@ -433,5 +433,28 @@
     EXPECT_FALSE(parseConfigurationDocument(std::string(configurationLimitBytes + 1, ' '), 1));
 }
 
+// Guards against a document of another writer that ends the process, or a number that overflows.
+TEST(ConfigurationDocument, OddDocumentsAreRefusedOrReadWithoutTheirOddParts)
+{
+    for (const std::string &text :
+         {std::string(), std::string(configurationLimitBytes, '['),
+          std::string(configurationLimitBytes, '{'), std::string(configurationLimitBytes + 1, ' '),
+          std::string(100, '\0'), std::string("\xff"), std::string("1e400"), std::string("[]"),
+          std::string(R"({"base":1e400})"), std::string(R"({"base":"b","x":)") + "\xff}",
+          R"({"base":"b","x":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}"}) {
+        EXPECT_FALSE(parseConfigurationDocument(text, 5)) << text.substr(0, 40);
+    }
+    for (const char *const number : {"-1e308", "18446744073709551615", "1.5", "\"1\"", "null"}) {
+        const Checked<ConfigurationDocument> document = parseConfigurationDocument(
+            R"({"base":"b","overlays":[1],"draining":[1,{}],"changes":[{"replaced":)"
+                + std::string(number) + R"(,"author":7},7]})",
+            5);
+        ASSERT_TRUE(document) << number;
+        ASSERT_EQ(document.value().m_changes.size(), 1U);
+        EXPECT_EQ(document.value().m_changes[0].m_replaced, 0);
+        EXPECT_TRUE(document.value().m_draining.empty());
+    }
+}
+
 } // namespace
 } // namespace arbutusgrade
--- a/libs/wire/tests/wiretest.cpp
+++ b/libs/wire/tests/wiretest.cpp
@@ -130,5 +130,39 @@
     EXPECT_FALSE(decodeGossip(encodeGossip(message)));
 }
 
+// Guards against unknown fields nested so deeply that skipping them exhausts the stack.
+TEST(Wire, DeeplyNestedMessagesAreRefused)
+{
+    // An unknown field (15) that is a struct, or a list of one list, within the previous one.
+    for (const char *const level : {"\xfc", "\x19"}) {
+        std::string nested = level[0] == '\x19' ? "\xf9" : "";
+        while (nested.size() < frameLimitBytes) {
+            nested += level;
+        }
+        EXPECT_FALSE(decodeGossip(nested));
+        EXPECT_FALSE(decodeRequest(nested));
+        EXPECT_FALSE(decodeReply(nested));
+    }
+}
+
+// Guards against ports that are cut to other ports.
+TEST(Wire, PortsOutOfRangeAreRefused)
+{
+    GossipMessage message;
+    message.m_sender = "s";
+    message.m_members = {{"a", 5, MemberState::Alive, 9, "dc", "10.0.0.1", 65535, 80, ""}};
+    const std::string bytes = encodeGossip(message);
+    // Ports are written as variable-length numbers with the sign in the lowest bit.
+    const std::string highest("\xfe\xff\x07", 3);
+    const std::size_t place = bytes.find(highest);
+    ASSERT_NE(place, std::string::npos);
+    for (const std::string &port :
+         {std::string("\x80\x80\x08", 3), std::string("\x81\x80\x00", 3),
+          std::string("\xff\xff\xff\xff\x0f", 5), std::string("\xfe\xff\xff\xff\x0f", 5)}) {
+        std::string changed = bytes;
+        EXPECT_FALSE(decodeGossip(changed.replace(place, highest.size(), port)));
+    }
+}
+
 } // namespace
 } // namespace arbutusgrade
