--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -185,6 +185,8 @@
         std::string m_body;
         TimePoint m_deadline;
         std::string m_contentType = "application/octet-stream";
+        //! Hands over a reply that is too large or no HTTP, as one with status 0.
+        bool m_reportUnreadable = false;
     };
 
     //! @brief Takes the reply, or null if there was none in time.
@@ -445,7 +447,9 @@
 
 //! @brief Base64 of the standard alphabet with padding.
 std::string encodeBase64(std::string_view bytes);
-std::string decodeBase64(std::string_view text);
+
+//! @brief Returns nothing for a text that is not wholly base64 with padding.
+std::optional<std::string> decodeBase64(std::string_view text);
 
 // JSON text --------------------------------------------------------------------------------------
 
