Judge a request in a planned stop by what its route has shown

The latency target was a floor of the expected time, against what the field says: a route with replies after 5 ms and a target of 1.5 s would have refused non-idempotent requests from SIGTERM on. The slow latency of the route counts alone now; without history it is the latency target. ExpectsTheLatencyThatARouteHasShown passed for the wrong reason since the room for non-idempotent requests had been widened: it would have passed without any history. Its stop is 3 s now, and a test of a fast route and one without history stand beside it. AnswersARequestThatWaitsForARetry checks the answer too.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -392,14 +392,13 @@
     std::string_view m_route;
     std::string_view m_service;
     std::string_view m_target;
-    std::uint64_t m_version = 0; //!< Configuration version used for the request.
-    Duration m_age{0};           //!< Since the request arrived.
-    int m_status = 0;            //!< HTTP status of the answer or reply, or 0.
-    std::size_t m_missing = 0;   //!< Shards without a reply.
-    //! For requests that arrive during a planned stop, otherwise empty.
-    std::optional<Duration> m_timeNeeded;
-    std::optional<Duration> m_timeUntilStop; //!< Until the last answers.
-    bool m_mayBeSampled = false;             //!< Success within the latency target; may be sampled.
+    std::uint64_t m_version = 0;             //!< Configuration version used for the request.
+    Duration m_age{0};                       //!< Since the request arrived.
+    int m_status = 0;                        //!< HTTP status of the answer or reply, or 0.
+    std::size_t m_missing = 0;               //!< Shards without a reply.
+    std::optional<Duration> m_timeNeeded;    //!< Of requests that arrive during a planned stop.
+    std::optional<Duration> m_timeUntilStop; //!< From then until the last answers.
+    bool m_mayBeSampled = false; //!< Nothing went wrong; one of many such lines is enough.
 };
 
 //! @brief Receives the engine's commands. Implementations must not call the engine synchronously.
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -129,6 +129,7 @@
                        std::string_view reason, std::optional<Duration> retryAfter);
     void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
     void limitToShutdown(PendingRequest &pending);
+    RequestEstimate estimateRequest(TimePoint now, const PendingRequest &pending) const;
     bool acceptsInShutdown(TimePoint now, const PendingRequest &pending);
     void callerDisconnected(TimePoint now, std::uint64_t caller);
     void advance(TimePoint now);
@@ -209,8 +210,8 @@
 //! @brief Adds the latency of a successful attempt to the statistics of its route.
 void recordRouteLatency(RouteLatency &statistics, Duration latency);
 
-//! @brief Returns whether a target has replied with an error that may be relayed to the caller. The
-//! parts of a search are never relayed.
+//! @brief Returns whether a target has replied to a single request with an error, which is a final
+//! answer. The parts of a search are never relayed.
 bool hasReplyToRelay(const PendingRequest &pending);
 
 //! @brief Returns whether the number of shards included is enough for a success.
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -241,13 +241,19 @@
     }
 }
 
-bool ForwardEngine::Implementation::acceptsInShutdown(TimePoint now, const PendingRequest &pending)
+RequestEstimate ForwardEngine::Implementation::estimateRequest(TimePoint now,
+                                                               const PendingRequest &pending) const
 {
     RequestEstimate estimate;
     estimate.m_limit = pending.m_deadline - now;
-    estimate.m_slowLatency =
-        std::max(pending.m_route->m_latencyTarget, pending.m_routeLatency->m_slowLatency);
+    estimate.m_slowLatency = pending.m_routeLatency->m_slowLatency;
     estimate.m_idempotent = pending.m_route->m_idempotent;
+    return estimate;
+}
+
+bool ForwardEngine::Implementation::acceptsInShutdown(TimePoint now, const PendingRequest &pending)
+{
+    const RequestEstimate estimate = estimateRequest(now, pending);
     const bool accepted = canFinish(*m_shutdown, now, estimate);
     ++(accepted ? m_statistics.m_acceptedInShutdown : m_statistics.m_refusedInShutdown);
     ForwardDecision decision;
--- a/libs/forwarding/tests/engineshutdowntest.cpp
+++ b/libs/forwarding/tests/engineshutdowntest.cpp
@@ -18,6 +18,18 @@
                                ShutdownSchedule{now(), now() + answerTime, now() + answerTime,
                                                 now() + answerTime + 250ms});
     }
+
+    //! @brief Lets the route to "orders" show a latency often enough to count.
+    void showLatency(Duration latency)
+    {
+        constexpr int requests = 40;
+        for (int request = 0; request < requests; ++request) {
+            submit("/orders/x", 10s);
+            advanceTime(latency);
+            replySuccess(lastOrder());
+        }
+        m_output.m_answers.clear();
+    }
 };
 
 } // namespace
@@ -55,9 +67,12 @@
     applyTable(2);
     useUpRetryBudget();
     ASSERT_EQ(m_engine.statistics().m_inFlight, 1U);
+    m_output.m_answers.clear();
     beginShutdown(100ms);
     advanceTime(100ms);
     EXPECT_EQ(m_engine.statistics().m_inFlight, 0U);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 500);
 }
 
 // Guards against passing on a request that cannot be answered before the process exits.
@@ -79,14 +94,35 @@
 // Guards against refusing requests by their latency target on a route that is known to be slower.
 TEST_F(EngineShutdown, ExpectsTheLatencyThatARouteHasShown)
 {
-    for (int request = 0; request < 40; ++request) {
-        submit("/orders/x");
-        advanceTime(900ms);
-        replySuccess(lastOrder());
-    }
-    m_output.m_answers.clear();
-    beginShutdown(1'500ms);
+    m_table.m_routes[1].m_timeout = 10s;
+    applyTable(2);
+    showLatency(900ms);
+    beginShutdown(3s);
+    submit("/orders/x", 10s);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 503);
+}
+
+// Guards against refusing requests by the latency target of a route that is known to be fast.
+TEST_F(EngineShutdown, AcceptsRequestsOfAFastRouteUntilShortlyBeforeTheEnd)
+{
+    showLatency(5ms);
+    beginShutdown(100ms);
     submit("/orders/x");
+    EXPECT_TRUE(m_output.m_answers.empty());
+}
+
+// Guards against the two tests above passing whatever the route has shown: without history the
+// latency target counts.
+TEST_F(EngineShutdown, ExpectsTheLatencyTargetOfARouteWithoutHistory)
+{
+    m_table.m_routes[1].m_timeout = 10s;
+    applyTable(2);
+    beginShutdown(3s);
+    submit("/orders/x", 10s);
+    EXPECT_TRUE(m_output.m_answers.empty());
+    beginShutdown(100ms);
+    submit("/orders/y", 10s);
     ASSERT_EQ(m_output.m_answers.size(), 1U);
     EXPECT_EQ(m_output.m_answers[0].m_status, 503);
 }
--- a/libs/shutdown/include/shutdown/shutdown.h
+++ b/libs/shutdown/include/shutdown/shutdown.h
@@ -13,7 +13,7 @@
 {
     TimePoint m_begunAt;
     TimePoint m_acceptUntil; //!< End of new connections and of requests on idle ones.
-    TimePoint m_answerBy;    //!< Each request has its final answer by then.
+    TimePoint m_answerBy;    //!< Accepted requests are answered by then; later ones are refused.
     TimePoint m_exitBy;      //!< The process ends, even if a caller has not read its answer.
 };
 
