--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -264,6 +264,7 @@
     decision.m_version = pending.m_routingTable->m_version;
     decision.m_timeNeeded = timeNeeded(estimate);
     decision.m_timeUntilStop = m_shutdown->m_answerBy - now;
+    decision.m_mayBeSampled = accepted;
     m_output.record(decision);
     return accepted;
 }
