End the wait for a retry while its caller can still use the answer

A non-idempotent request that its target had refused was held for up to 10 s with nothing at work and then refused, and an idempotent one without a usable reply got its 504 as late, when the budget allowed no retry. What no target may have run is refused at the time at which a request that was never sent is refused; the others fail at the latency target, as those with an error reply do already. Two tests failed before and pass.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -34,6 +34,17 @@
 // Number of requests over which the interval between requests to a service is smoothed.
 constexpr int intervalSamples = 16;
 
+//! @brief Returns how long a retry may wait for the budget or a target. A single request ends while
+//! its caller can still use the answer; the shards of a search wait for its deadline.
+TimePoint retryWaitEnd(const PendingRequest &pending)
+{
+    if (!pending.m_route->m_shards.empty()) {
+        return pending.m_deadline;
+    }
+    const bool mayHaveRun = pending.m_subrequests.front().m_possibleExecutions > 0;
+    return mayHaveRun ? pending.m_arrivedAt + pending.m_route->m_latencyTarget : pending.m_refuseAt;
+}
+
 } // namespace
 
 int ForwardEngine::Implementation::inFlightLimit(const PendingRequest &pending,
@@ -204,8 +215,7 @@
         failSubrequest(now, pending, index, "targets-unreachable");
         return;
     }
-    const TimePoint waitEnd = pending.m_arrivedAt + pending.m_route->m_latencyTarget;
-    if (hasReplyToRelay(pending) && now >= waitEnd) {
+    if (now >= retryWaitEnd(pending)) {
         failSubrequest(now, pending, index, subrequest.m_failureReason);
         return;
     }
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -64,6 +64,7 @@
     RouteLatency *m_routeLatency = nullptr;
     TimePoint m_arrivedAt;
     TimePoint m_deadline;
+    TimePoint m_refuseAt;        //!< When a request that no target may have run is refused.
     TimePoint m_partialAnswerAt; //!< When a search is answered even if shards are missing.
     std::vector<Subrequest> m_subrequests;
     std::size_t m_succeededCount = 0;
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -177,6 +177,7 @@
     const AnswerSchedule schedule =
         scheduleAnswers(route, request->m_callerPath, timeLeft, elapsedBefore);
     pending.m_deadline = now + schedule.m_deadline;
+    pending.m_refuseAt = now + schedule.m_refusal;
     pending.m_partialAnswerAt = now + schedule.m_partialAnswer;
     if (route.m_shards.empty()) {
         const std::size_t choice =
@@ -206,7 +207,7 @@
     m_pendingRequests[id] = std::move(owned);
     limitToShutdown(pending);
     addTimer(pending.m_deadline, TimerKind::Deadline, id);
-    addTimer(now + schedule.m_refusal, TimerKind::QueueTimeout, id);
+    addTimer(pending.m_refuseAt, TimerKind::QueueTimeout, id);
     if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -376,6 +376,41 @@
     EXPECT_EQ(m_output.m_answers[0].m_status, 500);
 }
 
+// Guards against holding a request that its target has refused, while the budget allows no retry:
+// another node may serve it.
+TEST_F(EngineTest, RefusesEarlyWhatNoTargetRanWhenNoRetryIsAllowed)
+{
+    m_table.m_routes[1].m_idempotent = true;
+    applyTable(2);
+    useUpRetryBudget();
+    m_table.m_routes[1].m_idempotent = false;
+    applyTable(3);
+    advanceTime(500ms);
+    m_output.m_answers.clear();
+    submit("/orders/x");
+    replyStatus(lastOrder(), 503, true);
+    advanceTime(120ms);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_kind, AnswerKind::Refused);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 503);
+}
+
+// Guards against holding a request whose reply was lost until its deadline, while the budget allows
+// no retry.
+TEST_F(EngineTest, FailsALostRequestAtTheLatencyTargetWhenNoRetryIsAllowed)
+{
+    m_table.m_routes[1].m_idempotent = true;
+    applyTable(2);
+    useUpRetryBudget();
+    advanceTime(500ms);
+    m_output.m_answers.clear();
+    submit("/orders/x");
+    endAttempt(lastOrder(), ForwardEnd::Malformed);
+    advanceTime(450ms);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 502);
+}
+
 // Guards against failing a search at its latency target while a shard can still be retried.
 TEST_F(EngineTest, KeepsWaitingForTheRetryOfAShard)
 {
