Refuse waiting requests that can't end before the process does

Admission was asked at arrival only. A request from the queue, or one that its target had refused, was passed on milliseconds before the last answers and got a 504, although a true 503 was at hand. Before a first sending from the queue and before a retry the engine asks again, by the request's own deadline, not by the one that the stop has capped. RefusesWaitingRequestsThatOutlastTheProcess failed before and passes.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -202,6 +202,10 @@
     if (subrequest.m_state != SubrequestState::Sent || subrequest.m_attemptsInFlight > 0) {
         return;
     }
+    if (outlastsShutdown(now, pending)) {
+        failSubrequest(now, pending, index, "shutting-down");
+        return;
+    }
     SendResult result = sendAttempt(now, pending, index, AttemptReason::Retry);
     if (result == SendResult::NoTarget && !subrequest.m_triedTargetIds.empty()) {
         // All targets have been tried; the one that failed first may have recovered.
@@ -234,6 +238,11 @@
         const bool needed =
             pending != nullptr
             && pending->m_subrequests[entry.m_subrequestIndex].m_state == SubrequestState::Queued;
+        if (needed && outlastsShutdown(now, *pending)) {
+            service.m_queue.pop_front();
+            failSubrequest(now, *pending, entry.m_subrequestIndex, "shutting-down");
+            continue;
+        }
         if (needed
             && sendAttempt(now, *pending, entry.m_subrequestIndex, AttemptReason::First)
                    != SendResult::Sent) {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -63,7 +63,8 @@
     const Route *m_route = nullptr;
     RouteLatency *m_routeLatency = nullptr;
     TimePoint m_arrivedAt;
-    TimePoint m_deadline;
+    TimePoint m_ownDeadline;     //!< By the caller's time and the route.
+    TimePoint m_deadline;        //!< Earlier than the own one in a planned stop.
     TimePoint m_refuseAt;        //!< When a request that no target may have run is refused.
     TimePoint m_partialAnswerAt; //!< When a search is answered even if shards are missing.
     std::vector<Subrequest> m_subrequests;
@@ -131,6 +132,7 @@
     void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
     void limitToShutdown(PendingRequest &pending);
     RequestEstimate estimateRequest(TimePoint now, const PendingRequest &pending) const;
+    bool outlastsShutdown(TimePoint now, const PendingRequest &pending) const;
     bool acceptsInShutdown(TimePoint now, const PendingRequest &pending);
     void callerDisconnected(TimePoint now, std::uint64_t caller);
     void advance(TimePoint now);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -176,7 +176,8 @@
     }
     const AnswerSchedule schedule =
         scheduleAnswers(route, request->m_callerPath, timeLeft, elapsedBefore);
-    pending.m_deadline = now + schedule.m_deadline;
+    pending.m_ownDeadline = now + schedule.m_deadline;
+    pending.m_deadline = pending.m_ownDeadline;
     pending.m_refuseAt = now + schedule.m_refusal;
     pending.m_partialAnswerAt = now + schedule.m_partialAnswer;
     if (route.m_shards.empty()) {
@@ -246,12 +247,20 @@
                                                                const PendingRequest &pending) const
 {
     RequestEstimate estimate;
-    estimate.m_limit = pending.m_deadline - now;
+    estimate.m_limit = pending.m_ownDeadline - now;
     estimate.m_slowLatency = pending.m_routeLatency->m_slowLatency;
     estimate.m_idempotent = pending.m_route->m_idempotent;
     return estimate;
 }
 
+bool ForwardEngine::Implementation::outlastsShutdown(TimePoint now,
+                                                     const PendingRequest &pending) const
+{
+    // A search waits for its parts until the last answers and may be partial.
+    return m_shutdown && pending.m_route->m_shards.empty()
+           && !canFinish(*m_shutdown, now, estimateRequest(now, pending));
+}
+
 bool ForwardEngine::Implementation::acceptsInShutdown(TimePoint now, const PendingRequest &pending)
 {
     const RequestEstimate estimate = estimateRequest(now, pending);
--- a/libs/forwarding/tests/engineshutdowntest.cpp
+++ b/libs/forwarding/tests/engineshutdowntest.cpp
@@ -127,6 +127,29 @@
     EXPECT_EQ(m_output.m_answers[0].m_status, 503);
 }
 
+// Guards against passing on a request from the queue, or once more after a refusal, when it cannot
+// be answered any more: its caller would lose the promise that it has not run.
+TEST_F(EngineShutdown, RefusesWaitingRequestsThatOutlastTheProcess)
+{
+    constexpr std::size_t room = 12;
+    m_table.m_routes[1].m_timeout = 20s;
+    m_table.m_routes[1].m_latencyTarget = 1s;
+    applyTable(2);
+    beginShutdown(4'100ms);
+    for (std::size_t request = 0; request < room + 1; ++request) {
+        submit("/orders/x", 20s);
+    }
+    ASSERT_EQ(m_output.m_orders.size(), room);
+    advanceTime(200ms);
+    replyStatus(m_output.m_orders[0], 503, true);
+    EXPECT_EQ(m_output.m_orders.size(), room);
+    ASSERT_EQ(m_output.m_answers.size(), 2U);
+    for (const ForwardAnswer &answer : m_output.m_answers) {
+        EXPECT_EQ(answer.m_kind, AnswerKind::Refused);
+        EXPECT_EQ(answer.m_status, 503);
+    }
+}
+
 // Guards against targets that work on after the process has exited.
 TEST_F(EngineShutdown, TellsTargetsTheTimeThatIsLeft)
 {
