Test replies, requests and frames that are cut at each byte

Another operator's report: a target stopped in the head of its answer and closed, and callers got a 200 with an empty or short body, framed as whole.

--- a/libs/peer/tests/peertest.cpp
+++ b/libs/peer/tests/peertest.cpp
@@ -1,5 +1,7 @@
 #include "peer/peer.h"
 
+#include <array>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/write.hpp>
@@ -122,5 +124,73 @@
     EXPECT_TRUE(closed);
 }
 
+std::string frameOf(const std::string &body)
+{
+    const std::array<std::uint8_t, frameHeaderBytes> header =
+        encodeFrameHeader(static_cast<std::uint32_t>(body.size()));
+    return std::string(header.begin(), header.end()) + body;
+}
+
+//! @brief Writes the first bytes of a frame and ends: in order, or with a reset.
+void writeCut(asio::ip::tcp::socket &socket, std::string_view frame, std::size_t cut, bool reset)
+{
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(frame.data(), cut), ignored);
+    if (reset) {
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    } else {
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+}
+
+// Guards against a reply of a peer that is cut off and taken for its state or configuration.
+TEST_F(PeerTest, CutReplyIsAFailure)
+{
+    const PullReply pull{"n2", 9, R"({"revision":9})", {}};
+    const std::string frame = frameOf(encodeReply({5, pull}));
+    asio::ip::tcp::acceptor acceptor(m_context, {asio::ip::make_address(loopbackAddress), 0});
+    for (std::size_t cut = 0; cut <= frame.size(); ++cut) {
+        for (const bool reset : {false, true}) {
+            asio::ip::tcp::socket peer(m_context);
+            acceptor.async_accept(peer, [&](boost::system::error_code error) {
+                ASSERT_FALSE(error);
+                writeCut(peer, frame, cut, reset);
+            });
+            const std::optional<PeerReply> reply = call(acceptor.local_endpoint().port());
+            if (cut < frame.size()) {
+                EXPECT_FALSE(reply) << cut;
+            } else if (!reset) {
+                ASSERT_TRUE(reply && reply->m_pull);
+                EXPECT_EQ(reply->m_pull->m_configuration, pull.m_configuration);
+            }
+        }
+    }
+}
+
+// Guards against a request of a peer that is cut off and handled.
+TEST_F(PeerTest, CutRequestIsNotHandled)
+{
+    int handled = 0;
+    PeerServer server(m_context, [&](const PeerRequest &request, const PeerResponder &respond) {
+        ++handled;
+        respond({request.m_id, std::nullopt});
+    });
+    const std::uint16_t port = listen(server);
+    const std::string frame = frameOf(encodeRequest({5, PullRequest{"n1", 3, true, true}}));
+    for (std::size_t cut = 0; cut < frame.size(); ++cut) {
+        for (const bool reset : {false, true}) {
+            asio::ip::tcp::socket socket(m_context);
+            socket.connect({asio::ip::make_address(loopbackAddress), port});
+            writeCut(socket, frame, cut, reset);
+            m_context.restart();
+            m_context.run_for(std::chrono::milliseconds(1));
+        }
+    }
+    EXPECT_EQ(handled, 0);
+    EXPECT_TRUE(call(port));
+    EXPECT_EQ(handled, 1);
+}
+
 } // namespace
 } // namespace arbutusgrade
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -216,4 +216,52 @@
     EXPECT_TRUE(busy.received("Connection: close"));
 }
 
+// Guards against a request that is cut off in its head or body and is run, alone or behind a whole
+// one on the same connection.
+TEST_F(HttpServerTest, CutRequestIsNotRun)
+{
+    const std::string whole = "PUT /whole HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
+    const std::vector<std::string> requests{
+        whole, "GET /a HTTP/1.1\r\nHost: x\r\nX-Id: 12\r\n folded\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 12\r\n\r\nGET / HTTP/1",
+        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "10;a=b\r\n0123456789abcdef\r\n1\r\nx\r\n0\r\nX-Trailer: 1\r\n\r\n"};
+    int wholeRuns = 0;
+    int cutRuns = 0;
+    int expectedWholeRuns = 0;
+    m_server.setFallback([&](const HttpRequest &request, const HttpResponder &responder) {
+        const bool isWhole = request.m_path == "/whole";
+        wholeRuns += isWhole ? 1 : 0;
+        cutRuns += isWhole ? 0 : 1;
+        responder(HttpResponse{200, "", "text/plain", {}});
+    });
+    std::vector<std::unique_ptr<RawClient>> silent;
+    for (const std::string &request : requests) {
+        for (std::size_t cut = 0; cut < request.size(); ++cut) {
+            for (const std::string &before : {std::string(), whole}) {
+                expectedWholeRuns += before.empty() ? 0 : 1;
+                const std::string text = before + request.substr(0, cut);
+                RawClient closing(m_context, m_server.port());
+                closing.send(text);
+                closing.endSending();
+                EXPECT_TRUE(runUntil(m_context, [&] { return closing.isClosed(); })) << text;
+                if (before.empty()) {
+                    RawClient resetting(m_context, m_server.port());
+                    resetting.send(text);
+                    resetting.reset();
+                    silent.push_back(std::make_unique<RawClient>(m_context, m_server.port()));
+                    silent.back()->send(text);
+                }
+            }
+        }
+    }
+    runFor(m_context, std::chrono::milliseconds(400));
+    EXPECT_EQ(cutRuns, 0);
+    EXPECT_EQ(wholeRuns, expectedWholeRuns);
+    for (const std::unique_ptr<RawClient> &client : silent) {
+        EXPECT_EQ(client->text().find("200"), std::string::npos) << client->text();
+    }
+    expectStillServing();
+}
+
 } // namespace arbutusgrade
--- a/libs/transport/tests/loopback.h
+++ b/libs/transport/tests/loopback.h
@@ -67,6 +67,12 @@
         m_state->m_socket.shutdown(Tcp::socket::shutdown_send);
     }
 
+    void reset()
+    {
+        m_state->m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_state->m_socket.close();
+    }
+
     const std::string &text() const
     {
         return m_state->m_received;
--- a/libs/transport/tests/storeclienttest.cpp
+++ b/libs/transport/tests/storeclienttest.cpp
@@ -119,4 +119,50 @@
     EXPECT_TRUE(entries->at(1).m_leaving);
 }
 
+// Guards against a reply of the store that is cut off and taken for an empty list, a missing key,
+// an empty value or a lease.
+TEST_F(StoreClientTest, CutReplyIsNoAnswer)
+{
+    const std::string list = R"({"vms":[]})";
+    const std::string value = R"({"value":"","revision":3,"lease":"L1"})";
+    const std::vector<std::string> replies{
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" + list,
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list,
+        "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n" + value,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n26\r\n" + value + "\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\n" + value,
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 412 Conflict\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 204 No Content\r\n\r\n"};
+    CallStore get = leasedCreate("k");
+    get.m_operation = StoreOperation::Get;
+    get.m_leased = false;
+    for (const std::string &reply : replies) {
+        for (std::size_t cut = 0; cut < reply.size(); ++cut) {
+            SCOPED_TRACE(reply.substr(0, cut));
+            m_script = [&reply, cut](RawServer::Peer &peer, const std::string & /*request*/) {
+                boost::system::error_code ignored;
+                asio::write(peer.m_socket, asio::buffer(reply, cut), ignored);
+                if (cut % 2 == 1) {
+                    peer.m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                }
+                peer.close();
+            };
+            EXPECT_EQ(call(get).m_status, StoreStatus::Unavailable);
+            EXPECT_EQ(call(leasedCreate("k")).m_status, StoreStatus::Unavailable);
+            std::optional<StoreReply> change;
+            m_client.watch("k", 1, std::chrono::seconds(1),
+                           [&change](const StoreReply &result) { change = result; });
+            std::optional<bool> listed;
+            m_client.listVms([&listed](const std::optional<std::vector<VmEntry>> &entries) {
+                listed = entries.has_value();
+            });
+            ASSERT_TRUE(runUntil(m_context, [&] { return listed && change; }));
+            EXPECT_FALSE(*listed);
+            EXPECT_EQ(change->m_status, StoreStatus::Unavailable);
+        }
+    }
+    EXPECT_EQ(m_client.statistics().m_writes, 0U);
+}
+
 } // namespace arbutusgrade
--- a/libs/transport/tests/targetclienttest.cpp
+++ b/libs/transport/tests/targetclienttest.cpp
@@ -267,4 +267,41 @@
     EXPECT_EQ(m_target.m_peers.size(), 1U);
 }
 
+// Guards against a reply that is cut off and reaches the core as a result, and against one that the
+// next attempt on the connection gets.
+TEST_F(TargetClientTest, CutReplyIsAFailureOfItsAttempt)
+{
+    constexpr AttemptId idOfOneLength =
+        10'000; // All ids have five digits, and all replies one length.
+    const std::string whole = okReply(idOfOneLength, "r1", "shard-1");
+    const std::vector<std::string> heads{
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n"};
+    std::size_t cut = 0;
+    std::string head;
+    m_script = [&](RawServer::Peer &peer, const std::string &text) {
+        const std::string reply = head + okReply(attemptOf(text), "r1", "shard-1");
+        boost::system::error_code ignored;
+        asio::write(peer.m_socket, asio::buffer(reply, cut), ignored);
+        if (cut % 3 == 1) {
+            peer.m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        peer.close();
+    };
+    AttemptId attempt = idOfOneLength;
+    for (const std::string &next : heads) {
+        head = next;
+        for (cut = 0; cut < head.size() + whole.size(); ++cut) {
+            send(++attempt);
+            ASSERT_TRUE(runUntil(m_context, [&] { return m_failures.contains(attempt); })) << cut;
+            EXPECT_NE(m_failures[attempt], AttemptFailure::NotSent) << cut;
+        }
+    }
+    EXPECT_TRUE(m_replies.empty());
+    EXPECT_EQ(m_failures.size(), m_requests.size());
+    m_script = nullptr;
+    send(++attempt);
+    EXPECT_TRUE(replied(attempt));
+}
+
 } // namespace arbutusgrade
