Take a reset during a long request as a reset

Callers would see a success with half a body, framed as whole: a target begins a reply without a length while it still reads a long request, and its connection is reset. The reply counted as ended in order.

Cause: the system reports a reset once. The pending write took the report, and the read behind it saw an end of the stream like that of an orderly close.

Requests that fit the buffers of the socket, and replies with a length or chunks, are not concerned.

Change: the end of a connection whose write failed is a reset.

--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -72,6 +72,7 @@
     m_parser.emplace(m_content, m_replyLimit, options);
     m_handler = std::move(handler);
     ++m_hop.m_messages;
+    m_writeFailed = false;
     if (written < request.size()) {
         m_writing = true;
         writeRest(std::string(request.substr(written)));
@@ -85,9 +86,9 @@
                       [self = shared_from_this(), text](error_code error, std::size_t written) {
                           self->m_hop.m_bytesOut += written;
                           self->m_writing = false;
-                          // A failed write shows in the pending read as well, which ends the
-                          // exchange; closing makes that certain.
+                          // The pending read ends the exchange; closing makes that certain.
                           if (error && !self->m_closed) {
+                              self->m_writeFailed = true;
                               error_code ignored;
                               self->m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
                           }
@@ -187,8 +188,9 @@
 
 void ClientConnection::handleEndOfStream(error_code error)
 {
-    // A reply without a length is whole only at an orderly end; a reset may have cut it off.
-    if (error != asio::error::eof) {
+    // A reply without a length is whole only at an orderly end; a reset may have cut it off. The
+    // system reports a reset once: after a failed write, the read sees an end that looks orderly.
+    if (error != asio::error::eof || m_writeFailed) {
         finish(ExchangeEnd::Reset);
         return;
     }
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -94,7 +94,8 @@
     ExchangeHandler m_handler;
     std::function<void()> m_idleCloseHandler;
     std::chrono::milliseconds m_peerTimeout{0};
-    bool m_writing = false; //!< Part of the request is still to be written.
+    bool m_writing = false;     //!< Part of the request is still to be written.
+    bool m_writeFailed = false; //!< Of the current exchange.
     bool m_reusable = false;
     bool m_closed = false;
 };
--- a/libs/transport/tests/cutreplytest.cpp
+++ b/libs/transport/tests/cutreplytest.cpp
@@ -242,4 +242,36 @@
 
 INSTANTIATE_TEST_SUITE_P(Replies, CutReplyTest, testing::ValuesIn(goodReplies), paramName);
 
+// Guards against a reply without a length that is taken for whole when a reset ends the connection
+// while the request is still being written: the failed write must not hide the reset.
+TEST_F(CutReplyTest, ResetDuringALongRequestIsNoOrderlyEnd)
+{
+    constexpr std::size_t longerThanTheBuffers = 16 * 1024 * 1024;
+    Tcp::acceptor acceptor(m_context, {asio::ip::address_v4::loopback(), 0});
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: " + std::to_string(longerThanTheBuffers)
+        + "\r\n\r\n" + std::string(longerThanTheBuffers, 'x');
+    for (int run = 0; run < 10; ++run) {
+        std::optional<ForwardEnd> end;
+        ForwardAttempt order;
+        order.m_attempt = ++m_lastAttempt;
+        order.m_target = "t";
+        order.m_endpoint = acceptor.local_endpoint();
+        order.m_text = request;
+        m_client.send(order,
+                      [&end](ForwardEnd result, const ReplyContent & /*reply*/) { end = result; });
+        Tcp::socket peer = acceptor.accept();
+        const std::string half = okHead + receipt + "\r\nhalf";
+        const std::size_t readBefore = m_client.statistics().m_hop.m_bytesIn;
+        asio::write(peer, asio::buffer(half));
+        ASSERT_TRUE(runUntil(m_context, [this, readBefore, &half] {
+            return m_client.statistics().m_hop.m_bytesIn == readBefore + half.size();
+        }));
+        peer.set_option(asio::socket_base::linger(true, 0));
+        peer.close();
+        ASSERT_TRUE(runUntil(m_context, [&end] { return end.has_value(); }));
+        EXPECT_EQ(end, ForwardEnd::Reset);
+    }
+}
+
 } // namespace arbutusgrade
