Read on behind an interim reply

Callers saw the status 100 as the answer: a target that writes a reply such as "100 Continue" or "103 Early Hints" before the reply proper had the interim one taken for its answer, whether the reply behind it was cut or whole. The connection was kept if the rest was late, so that the reply proper could come where the next request expected its own.

Cause: the parser reports an interim reply as a complete message, and the connection took the first complete message.

Evidence: before the change InterimReplyIsNotTheAnswer failed, and both cut tests of the reply behind two interim ones at each cut behind the first.

Change: an interim reply is dropped with its fields, and reading goes on on the same connection within the limit of the reply. 101 is malformed, as no request asks for another protocol.

--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -16,6 +16,13 @@
 // Most replies fit; the buffer grows for larger ones.
 constexpr std::size_t readSizeBytes = 8 * 1024;
 
+constexpr int switchingProtocols = 101;
+
+bool isInterim(int status)
+{
+    return status / 100 == 1;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &context, HopStatistics &hop,
@@ -69,7 +76,8 @@
         reportNotSent(std::move(handler));
         return;
     }
-    m_parser.emplace(m_content, m_replyLimit, options);
+    m_options = options;
+    m_parser.emplace(m_content, m_replyLimit, m_options);
     m_handler = std::move(handler);
     ++m_hop.m_messages;
     m_writeFailed = false;
@@ -163,12 +171,33 @@
     m_replyBytes = 0;
 }
 
-void ClientConnection::parseBuffered()
+bool ClientConnection::parseMessage()
 {
     error_code error;
     const std::size_t used = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(used);
-    if (error && error != http::error::need_more) {
+    return !error || error == http::error::need_more;
+}
+
+bool ClientConnection::skipInterimReplies()
+{
+    while (m_parser->is_done() && isInterim(m_content.m_status)) {
+        // No request of ours asks for another protocol.
+        if (m_content.m_status == switchingProtocols) {
+            return false;
+        }
+        m_parser.emplace(m_content, m_replyLimit, m_options);
+        if (!parseMessage()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void ClientConnection::parseBuffered()
+{
+    const bool isWellFormed = parseMessage() && skipInterimReplies();
+    if (!isWellFormed) {
         finish(ExchangeEnd::Malformed);
         return;
     }
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -78,6 +78,10 @@
     void handleRead(boost::system::error_code error, std::size_t bytes);
     bool isReplyTooLarge() const;
     void parseBuffered();
+    //! @brief Parses what has arrived. Returns false if it is no reply.
+    bool parseMessage();
+    //! @brief Parses on behind replies such as "100 Continue", which announce the reply proper.
+    bool skipInterimReplies();
     void releaseReply();
     void handleEndOfStream(boost::system::error_code error);
     void finish(ExchangeEnd end);
@@ -90,6 +94,7 @@
     std::size_t m_replyBytes = 0; //!< Received of the current reply.
     boost::beast::flat_buffer m_buffer;
     std::optional<ReplyParser> m_parser;
+    ExchangeOptions m_options; //!< Of the current exchange.
     ReplyContent m_content;
     ExchangeHandler m_handler;
     std::function<void()> m_idleCloseHandler;
--- a/libs/transport/tests/cutreplytest.cpp
+++ b/libs/transport/tests/cutreplytest.cpp
@@ -33,6 +33,9 @@
 
 const std::string okHead = "HTTP/1.1 200 OK\r\n";
 const std::string receipt = "X-Receipt: r1.07.5a2\r\n";
+const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                            "HTTP/1.1 103 Early Hints\r\nX-Receipt: no.answer\r\n\r\n";
+
 const std::vector<GoodReply> goodReplies{
     {"Length", okHead + receipt + "Content-Length: 12\r\nX-Last: 1\r\n\r\nHTTP/1.1 200",
      "HTTP/1.1 200"},
@@ -58,6 +61,7 @@
     {"NoContent", "HTTP/1.1 204 No Content\r\n" + receipt + "\r\n", "", 204},
     {"NotModified", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", "", 304},
     {"Refusal", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", "no", 503},
+    {"Interim", interim + okHead + receipt + "Content-Length: 2\r\n\r\nok", "ok", 200},
 };
 
 std::vector<std::string> inOnePiece(const std::string &text)
@@ -274,4 +278,20 @@
     }
 }
 
+// Guards against an interim reply that reaches the caller as the answer, with the reply proper left
+// for the next request on the connection.
+TEST_F(CutReplyTest, InterimReplyIsNotTheAnswer)
+{
+    const std::string good = okHead + "Content-Length: 4\r\n\r\ngood";
+    const Outcome outcome = exchange({interim, good}, End::Silence);
+    EXPECT_EQ(outcome.m_end, ForwardEnd::Reply);
+    EXPECT_EQ(outcome.m_content.m_status, 200);
+    EXPECT_EQ(outcome.m_content.m_body, "good");
+    EXPECT_EQ(outcome.m_content.m_headers.size(), 1U);
+    EXPECT_EQ(m_client.statistics().m_connections, 1U);
+    const std::string switching = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n";
+    EXPECT_EQ(exchange({switching, good}, End::Silence).m_end, ForwardEnd::Malformed);
+    EXPECT_EQ(m_client.statistics().m_connections, 0U);
+}
+
 } // namespace arbutusgrade
