Answer HEAD without a body

Callers would see bytes that are no answer, or take them for the beginning of the next answer: the gateway's own errors, such as the 502 after a cut reply to a HEAD request, were written with their body, on a connection that is kept.

Cause: the server wrote every response in full, whatever the method.

Evidence: before the change AnswerToHeadHasNoBody found the body behind the head, and it stood in front of the answer to the next request.

Change: the server leaves the body out and states its length. The request of the exchange before no longer stands while the next one is read, so that the refusal of a malformed request keeps its body.

--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -165,6 +165,7 @@
         return;
     }
     m_phase = Phase::Reading;
+    m_request = HttpRequest{};
     m_timedOut = false;
     m_deadline = steadyNow() + state->m_options.m_readTimeout;
     http::async_read_header(m_socket, m_buffer, *m_parser,
@@ -351,6 +352,10 @@
     m_response->keep_alive(keepAlive);
     m_response->body() = std::move(response.m_body);
     m_response->prepare_payload();
+    if (m_request.m_method == "HEAD") {
+        // The caller would take a body for the beginning of the next response.
+        m_response->body().clear();
+    }
     http::async_write(m_socket, *m_response,
                       [self = shared_from_this()](error_code error, std::size_t bytes) {
                           self->handleWritten(error, bytes);
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -264,4 +264,25 @@
     expectStillServing();
 }
 
+// Guards against an answer to HEAD with a body, such as that of an error: the caller would take it
+// for the beginning of the next answer on the connection.
+TEST_F(HttpServerTest, AnswerToHeadHasNoBody)
+{
+    m_server.setFallback([](const HttpRequest & /*request*/, const HttpResponder &responder) {
+        responder(HttpResponse{502, "an error", "text/plain", {}});
+    });
+    RawClient client(m_context, m_server.port());
+    client.send("HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_context, [&] { return client.received("\r\n\r\n"); }));
+    EXPECT_TRUE(client.text().ends_with("\r\n\r\n")) << client.text();
+    EXPECT_TRUE(client.received("Content-Length: 8\r\n"));
+    const std::size_t headBytes = client.text().size();
+    client.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_context, [&] { return client.text().ends_with("an error"); }));
+    EXPECT_TRUE(client.text().substr(headBytes).starts_with("HTTP/1.1 502")) << client.text();
+    const std::string malformed =
+        exchange("HEAD /a HTTP/1.1\r\nHost: x\r\n\r\nno request\r\n\r\n", "\"}");
+    EXPECT_TRUE(malformed.ends_with("}")) << malformed;
+}
+
 } // namespace arbutusgrade
