Refuse a reply whose head runs into another reply

Callers would see one answer made of two: a target breaks off in a line of a head and goes on with its next reply on the same connection. The status came from the first and the body from the second, and the rest of the line, with the status line of the second in it, could stand as the receipt.

Cause: nothing of the two is malformed. The status line of the second is read as the end of the reason, of a header's value or of a trailer's.

Change: a reason or value that holds a status line makes the reply malformed. A target that sends one in a header of its own is refused too; its attempts are logged as malformed. A cut in a body that is counted in bytes, followed by more bytes, still cannot be told from a whole one.

--- a/libs/transport/src/details/replyparser.h
+++ b/libs/transport/src/details/replyparser.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include "transport/transport.h"
 
@@ -32,17 +34,41 @@
     using Error = boost::beast::error_code;
     using Text = boost::beast::string_view;
 
+    //! @brief True for the rest of a line in which another reply begins. A target leaves it that
+    //! breaks off in a head and goes on with its next reply: the two would pass for one.
+    static bool holdsStatusLine(Text text)
+    {
+        static constexpr std::string_view version = "HTTP/1.";
+        static constexpr std::size_t minorAndStatusBytes = 5; // As in "1 200".
+        const std::string_view line(text.data(), text.size());
+        const std::size_t start = line.find(version);
+        if (start == std::string_view::npos) {
+            return false;
+        }
+        const std::string_view rest = line.substr(start + version.size(), minorAndStatusBytes);
+        return rest.size() == minorAndStatusBytes && rest[1] == ' '
+               && rest.find_first_not_of("0123456789", 2) == std::string_view::npos;
+    }
+
     void on_request_impl(boost::beast::http::verb /*verb*/, Text /*method*/, Text /*target*/,
                          int /*version*/, Error & /*error*/) override
     {
     }
-    void on_response_impl(int status, Text /*reason*/, int /*version*/, Error & /*error*/) override
+    void on_response_impl(int status, Text reason, int /*version*/, Error &error) override
     {
+        if (holdsStatusLine(reason)) {
+            error = boost::beast::http::error::bad_reason;
+            return;
+        }
         m_content.m_status = status;
     }
     void on_field_impl(boost::beast::http::field /*field*/, Text name, Text value,
-                       Error & /*error*/) override
+                       Error &error) override
     {
+        if (holdsStatusLine(value)) {
+            error = boost::beast::http::error::bad_value;
+            return;
+        }
         if (m_keepHeaders) {
             m_content.m_headers.emplace_back(std::string_view(name.data(), name.size()),
                                              std::string_view(value.data(), value.size()));
--- a/libs/transport/tests/cutreplytest.cpp
+++ b/libs/transport/tests/cutreplytest.cpp
@@ -96,6 +96,23 @@
     return orderly && cut >= reply.m_text.find("\r\n\r\n") + 4;
 }
 
+//! @brief True for whole interim replies, behind which the reply proper may come.
+bool endsWithInterim(std::string_view text)
+{
+    return interim.starts_with(text) && text.ends_with("\r\n\r\n");
+}
+
+//! @brief Cuts from here on cannot be told from a whole reply when bytes follow: those of a body
+//! that is counted in bytes or goes on to the end of the connection.
+std::size_t joinableFrom(const GoodReply &reply)
+{
+    if (reply.m_text.find("chunked") != std::string::npos) {
+        return reply.m_text.size();
+    }
+    const std::size_t start = reply.m_text.starts_with(interim) ? interim.size() : 0;
+    return reply.m_text.find("\r\n\r\n", start) + 4;
+}
+
 //! @brief Peer that is told what to write once it has read a request.
 class CutReplyTest : public testing::TestWithParam<GoodReply>
 {
@@ -244,6 +261,31 @@
     }
 }
 
+// Guards against a reply that is cut in its head and taken for a part of the reply behind it, and
+// against a next request that gets what is left of the two.
+TEST_P(CutReplyTest, IsNoReplyTogetherWithTheNext)
+{
+    const GoodReply &reply = GetParam();
+    const std::string second = okHead + "X-Receipt: second\r\nContent-Length: 6\r\n\r\nsecond";
+    for (std::size_t cut = 1; cut < joinableFrom(reply); ++cut) {
+        if (endsWithInterim(reply.m_text.substr(0, cut))) {
+            continue;
+        }
+        for (const std::vector<std::string> &pieces :
+             {std::vector<std::string>{reply.m_text.substr(0, cut), second},
+              std::vector<std::string>{reply.m_text.substr(0, cut) + second}}) {
+            SCOPED_TRACE("cut at " + std::to_string(cut));
+            EXPECT_NE(exchange(pieces, End::Silence, reply.m_isHead).m_end, ForwardEnd::Reply)
+                << reply.m_text.substr(0, cut);
+            const Outcome next = exchange({okHead + "Content-Length: 4\r\n\r\nnext"}, End::Silence);
+            ASSERT_EQ(next.m_end, ForwardEnd::Reply);
+            EXPECT_EQ(next.m_content.m_body, "next");
+            m_client.dropIdle();
+            m_server.m_peers.clear();
+        }
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Replies, CutReplyTest, testing::ValuesIn(goodReplies), paramName);
 
 // Guards against a reply without a length that is taken for whole when a reset ends the connection
