--- a/libs/transport/tests/endlessreplytest.cpp
+++ b/libs/transport/tests/endlessreplytest.cpp
@@ -144,6 +144,7 @@
     Kinds, EndlessReplyTest,
     testing::Values(EndlessReply{"NoHttp", "", "0123456789"},
                     EndlessReply{"StatusLine", "HTTP/1.1 200 ", "very "},
+                    EndlessReply{"InterimReplies", "", "HTTP/1.1 100 Continue\r\n\r\n"},
                     EndlessReply{"HeaderLine", okHead + "X-Long: ", "long"},
                     EndlessReply{"Headers", okHead, "X-Another: value\r\n"},
                     EndlessReply{"BodyWithoutLength", okHead + "\r\n", "body"},
