Log why the gateway did not take its settings at SIGHUP

An operator who sent SIGHUP with a file that cannot be used saw nothing in the log: the findings went to standard error as plain text, between the JSON lines or to nowhere. The old settings stayed in force, as they should, and the process went on; only the reason was lost.

Reading now returns the findings, an unreadable file among them.

--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -13,6 +13,7 @@
 #include <absl/flags/usage.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/json/array.hpp>
 
 #include "gatewaynode/gatewaynode.h"
 #include "platform/platform.h"
@@ -27,6 +28,9 @@
 constexpr int exitUsage = 2;
 constexpr int exitFailure = 1;
 
+// Bounds the log line of a settings file that cannot be used.
+constexpr std::size_t maximumLoggedFindings = 10;
+
 constexpr const char *usageText =
     "Passes requests of callers to the targets of the registry and merges searches.\n\n"
     "Example:\n"
@@ -41,41 +45,56 @@
     return flag.empty() && variable != nullptr ? std::string(variable) : flag;
 }
 
-//! @brief Reads the settings; findings go to standard error.
-std::optional<arbutusgrade::GatewaySettings> readSettings(const std::string &path)
+//! @brief Reads the settings; a file that cannot be read is a finding too.
+arbutusgrade::Checked<arbutusgrade::GatewaySettings> readSettings(const std::string &path)
 {
     const std::optional<std::string> text = arbutusgrade::readTextFile(path);
     if (!text) {
-        std::cerr << "cannot read the settings file '" << path << "'; name one with --settings\n";
-        return std::nullopt;
+        return std::vector<arbutusgrade::Finding>{{path, 1, 1, "cannot read the file"}};
     }
-    arbutusgrade::Checked<arbutusgrade::GatewaySettings> settings =
-        arbutusgrade::parseGatewaySettings({path, *text});
-    if (settings) {
-        return std::move(settings.value());
+    return arbutusgrade::parseGatewaySettings({path, *text});
+}
+
+//! @brief Logs why the settings stay as they are. The first findings tell what to mend.
+void logFindings(arbutusgrade::Log &log, const std::vector<arbutusgrade::Finding> &findings)
+{
+    boost::json::array texts;
+    for (const arbutusgrade::Finding &finding : findings) {
+        if (texts.size() == maximumLoggedFindings) {
+            break;
+        }
+        texts.emplace_back(arbutusgrade::formatFinding(finding));
     }
-    for (const arbutusgrade::Finding &finding : settings.error()) {
-        std::cerr << arbutusgrade::formatFinding(finding) << '\n';
+    log.write(arbutusgrade::LogLevel::Error, "settings-not-reloaded",
+              "the settings in force stay; correct the file and send SIGHUP again",
+              {{"findingCount", findings.size()}, {"findings", std::move(texts)}});
+}
+
+void reloadSettings(const std::string &path, arbutusgrade::GatewayNode &node,
+                    arbutusgrade::Log &log)
+{
+    const arbutusgrade::Checked<arbutusgrade::GatewaySettings> settings = readSettings(path);
+    if (settings) {
+        node.applyChangedSettings(settings.value());
+    } else {
+        logFindings(log, settings.error());
     }
-    return std::nullopt;
 }
 
 void waitForSignal(boost::asio::signal_set &signals, boost::asio::io_context &context,
-                   arbutusgrade::GatewayNode &node, const std::string &path)
+                   arbutusgrade::GatewayNode &node, arbutusgrade::Log &log, const std::string &path)
 {
     signals.async_wait([&](boost::system::error_code error, int signal) {
         if (error) {
             return;
         }
         if (signal == SIGHUP) {
-            if (const std::optional<arbutusgrade::GatewaySettings> settings = readSettings(path)) {
-                node.applyChangedSettings(*settings);
-            }
+            reloadSettings(path, node, log);
         } else {
             // A repeated signal changes nothing, so that no request in flight is cut off.
             node.beginShutdown([&context] { context.stop(); });
         }
-        waitForSignal(signals, context, node, path);
+        waitForSignal(signals, context, node, log, path);
     });
 }
 
@@ -92,7 +111,7 @@
     arbutusgrade::GatewayNode node(context, settings, arbutusgrade::platform::deploymentFormat(),
                                    *store, log);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-    waitForSignal(signals, context, node, path);
+    waitForSignal(signals, context, node, log, path);
     log.write(arbutusgrade::LogLevel::Info, "started", "",
               {{"dataCentre", settings.m_dataCentre}, {"store", settings.m_store.m_address}});
     const std::string problem = node.start();
@@ -119,15 +138,18 @@
         std::cerr << "a settings file is required; see --help\n";
         return exitUsage;
     }
-    const std::optional<arbutusgrade::GatewaySettings> settings = readSettings(path);
+    const arbutusgrade::Checked<arbutusgrade::GatewaySettings> settings = readSettings(path);
     if (!settings) {
+        for (const arbutusgrade::Finding &finding : settings.error()) {
+            std::cerr << arbutusgrade::formatFinding(finding) << '\n';
+        }
         return exitUsage;
     }
     if (absl::GetFlag(FLAGS_check)) {
         return 0;
     }
     try {
-        return run(path, *settings);
+        return run(path, settings.value());
     } catch (const std::exception &error) {
         std::cerr << error.what() << '\n';
         return exitFailure;
