Keep the daemon running at SIGHUP

SIGHUP had its default action: it ended the daemon at once, and callers with a request in flight saw their connection close without an answer. An operator who is used to SIGHUP as a reload, or a session that ends, was enough.

The test sends SIGHUP while a search is in flight, in calm and after SIGTERM.

The daemon takes its settings from the store, so there is nothing to read again: it logs `reload-not-supported` and goes on.

--- a/tests/support/include/support/site.h
+++ b/tests/support/include/support/site.h
@@ -40,6 +40,7 @@
     std::vector<GroupPlan> m_groups;
     std::vector<KindSettings> m_kinds;
     int m_shutdownLingerMs = 1000;
+    int m_shutdownBoundMs = 30000;
     std::string m_partitionings;   //!< YAML list for the first group; empty: one of all services.
     std::uint16_t m_storePort = 0; //!< Given to daemons in place of the store's own, for a proxy.
 };
--- a/tests/support/src/site.cpp
+++ b/tests/support/src/site.cpp
@@ -131,7 +131,8 @@
     }
     const std::uint16_t storePort = m_plan.m_storePort != 0 ? m_plan.m_storePort : m_storePort;
     out << "]\nstore:\n  address: 127.0.0.1\n  port: " << storePort
-        << "\nshutdownLingerMilliseconds: " << m_plan.m_shutdownLingerMs << "\nnodes:\n";
+        << "\nshutdownLingerMilliseconds: " << m_plan.m_shutdownLingerMs
+        << "\nshutdownBoundMilliseconds: " << m_plan.m_shutdownBoundMs << "\nnodes:\n";
     for (int node = 0; node < m_plan.m_nodes; ++node) {
         const std::size_t index = static_cast<std::size_t>(node);
         out << "  - {name: " << nodeName(node)
--- a/tools/arbutusgraded/main.cpp
+++ b/tools/arbutusgraded/main.cpp
@@ -34,8 +34,9 @@
     "Serves queries of callers from sharded targets.\n\n"
     "Example:\n"
     "  arbutusgraded --base firm.yaml --overlay bergen.yaml --node bergen-1\n\n"
-    "SIGTERM ends it gracefully. Exit codes: 0 after SIGTERM, 1 if it cannot start, 2 for usage\n"
-    "errors or findings in the settings.";
+    "SIGTERM ends it gracefully; SIGHUP changes nothing, as settings come with arbutusgradectl\n"
+    "apply. Exit codes: 0 after SIGTERM, 1 if it cannot start, 2 for usage errors or findings in\n"
+    "the settings.";
 
 //! @brief Reads the files into the options: their texts and the settings that they give.
 bool readSettings(const std::string &basePath, const std::string &overlayPath,
@@ -80,12 +81,17 @@
 void waitForSignal(boost::asio::signal_set &signals, boost::asio::io_context &context,
                    arbutusgrade::NodeShell &shell)
 {
-    signals.async_wait([&](boost::system::error_code error, int /*signal*/) {
+    signals.async_wait([&](boost::system::error_code error, int signal) {
         if (error) {
             return;
         }
-        // A repeated signal changes nothing, so that no request in flight is cut off.
-        shell.beginShutdown([&context] { context.stop(); });
+        if (signal == SIGHUP) {
+            shell.log().write(arbutusgrade::LogLevel::Warning, "reload-not-supported",
+                              "SIGHUP changes nothing; change settings with arbutusgradectl apply");
+        } else {
+            // A repeated signal changes nothing, so that no request in flight is cut off.
+            shell.beginShutdown([&context] { context.stop(); });
+        }
         waitForSignal(signals, context, shell);
     });
 }
@@ -97,7 +103,7 @@
     const arbutusgrade::NodeOptions options = nodeOptions();
     arbutusgrade::Log log({options.m_node, absl::GetFlag(FLAGS_log_file)});
     arbutusgrade::NodeShell shell(context, options, log);
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     waitForSignal(signals, context, shell);
     cluster.m_node = options.m_node;
     cluster.m_incarnation = options.m_incarnation;
