Answer every query before the daemon's stop ends

A daemon that gets SIGTERM ended at the bound of its stop with requests in flight: their callers read `end of stream`. A request did not know that the process ends. Its deadline (up to 600 s if the kind allows it) could lie beyond the exit, a retry could wait for its budget until then, and orders were sent when no time was left to learn their result. Settings that came during the stop moved its end, also forward.

Now the times are fixed at the signal (libs/shutdown). Each deadline is limited to the time at which answers can still be written; the usual timer then answers with what is in: partial where the kind allows it, failed, or outcome-unknown for an order that was sent, with reason shutting-down. A request that nothing was sent for is refused as not run once the time that slow requests of its kind take is not left any more, at its arrival or while it waits; twice this time for orders. The kind's times are measured over whole requests, as the latencies of attempts leave out queues and the probe of a payload. The log has one line for each request cut (50 at most) and the counts at the end.

ShutdownEndsAtItsBound expected a stop to last its whole bound while a target hangs. That is what was wrong: the request now has its answer 250 ms before, and the stop ends then. The test asks for both limits, 1.25 s to 1.6 s, and for the answer.

--- a/libs/node/src/details/nodeimplementation.h
+++ b/libs/node/src/details/nodeimplementation.h
@@ -8,6 +8,7 @@
 
 #include "details/targetwatch.h"
 #include "node/node.h"
+#include "shutdown/shutdown.h"
 
 namespace arbutusgrade {
 
@@ -53,6 +54,8 @@
     void beginShutdown(std::function<void()> finished);
     void endAccepting();
     void waitForEnd();
+    void endShutdown();
+    void logUnansweredCallers();
 
     // Status pages (statuspages.cpp)
     void addStatusRoutes();
@@ -92,9 +95,7 @@
     std::function<bool(const std::string &)> m_quotaRule;
 
     bool m_running = false;
-    bool m_shuttingDown = false;
-    bool m_accepting = true;
-    TimePoint m_shutdownStarted;
+    std::optional<ShutdownSchedule> m_shutdown; //!< Of the planned stop that has begun.
     std::function<void()> m_shutdownFinished;
     asio::steady_timer m_shutdownTimer;
 };
--- a/libs/node/src/lifecycle.cpp
+++ b/libs/node/src/lifecycle.cpp
@@ -9,6 +9,9 @@
 // How often a shutdown looks whether all requests have ended.
 constexpr std::chrono::milliseconds shutdownPollInterval{20};
 
+// Bounds the lines that a shutdown writes; the count of all requests is logged beside them.
+constexpr int maximumUnansweredLines = 50;
+
 StoreClientOptions storeOptions(const StoreSettings &settings)
 {
     StoreClientOptions options;
@@ -102,20 +105,23 @@
 
 void NodeShell::Implementation::beginShutdown(std::function<void()> finished)
 {
-    if (m_shuttingDown) {
+    if (m_shutdown) {
         return;
     }
-    m_shuttingDown = true;
-    m_shutdownStarted = steadyNow();
+    m_shutdown =
+        scheduleShutdown(steadyNow(), m_settings.m_shutdownLinger, m_settings.m_shutdownBound);
     m_shutdownFinished = std::move(finished);
-    m_log.write(LogLevel::Info, "shutdown-started",
-                "not ready any more; accepting goes on for a while",
-                {{"requestsInFlight", requestsInFlight(*m_engine)}});
+    m_log.write(
+        LogLevel::Info, "shutdown-started", "not ready any more; accepting goes on for a while",
+        {{"requestsInFlight", requestsInFlight(*m_engine)},
+         {"acceptMicroseconds", (m_shutdown->m_acceptUntil - m_shutdown->m_begunAt).count()},
+         {"exitMicroseconds", (m_shutdown->m_exitBy - m_shutdown->m_begunAt).count()}});
     m_server.announceClose();
+    feed([this](TimePoint now) { limitByShutdown(*m_engine, now, *m_shutdown, m_actions); });
     for (const std::unique_ptr<NodeService> &service : m_services) {
         service->stop();
     }
-    m_shutdownTimer.expires_after(m_settings.m_shutdownLinger);
+    m_shutdownTimer.expires_at(m_shutdown->m_acceptUntil);
     m_shutdownTimer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             endAccepting();
@@ -125,21 +131,20 @@
 
 void NodeShell::Implementation::endAccepting()
 {
+    const HttpConnectionCounts before = m_server.connectionCounts();
     m_server.stopAccepting();
     arbutusgrade::beginShutdown(*m_engine);
+    m_log.write(
+        LogLevel::Info, "accepting-ended", "requests in flight go on",
+        {{"requestsInFlight", requestsInFlight(*m_engine)}, {"idleConnections", before.m_idle}});
     waitForEnd();
 }
 
 void NodeShell::Implementation::waitForEnd()
 {
-    const std::size_t engineRequests = requestsInFlight(*m_engine);
-    const std::size_t serverRequests = m_server.requestsInFlight();
-    const bool ended = engineRequests == 0 && serverRequests == 0;
-    if (ended || steadyNow() - m_shutdownStarted >= m_settings.m_shutdownBound) {
-        m_log.write(ended ? LogLevel::Info : LogLevel::Error, "shutdown-finished",
-                    ended ? "all requests have ended" : "requests did not end within the bound",
-                    {{"requestsInFlight", std::max(engineRequests, serverRequests)}});
-        m_shutdownFinished();
+    const bool ended = requestsInFlight(*m_engine) == 0 && m_server.requestsInFlight() == 0;
+    if (ended || steadyNow() >= m_shutdown->m_exitBy) {
+        endShutdown();
         return;
     }
     m_shutdownTimer.expires_after(shutdownPollInterval);
@@ -150,4 +155,40 @@
     });
 }
 
+void NodeShell::Implementation::endShutdown()
+{
+    logUnansweredCallers();
+    const HttpConnectionCounts counts = m_server.connectionCounts();
+    const std::size_t requests = std::max(requestsInFlight(*m_engine), m_server.requestsInFlight());
+    m_log.write(requests == 0 ? LogLevel::Info : LogLevel::Error, "shutdown-finished",
+                requests == 0 ? "all requests have ended" : "requests did not end within the bound",
+                {{"requestsInFlight", requests},
+                 {"sinceShutdownMicroseconds", (steadyNow() - m_shutdown->m_begunAt).count()},
+                 {"unanswered", m_callers.size()},
+                 {"reading", counts.m_reading},
+                 {"handling", counts.m_handling},
+                 {"writing", counts.m_writing},
+                 {"draining", counts.m_draining},
+                 {"closedWithUnreadBytes", m_server.statistics().m_closedWithUnreadBytes}});
+    m_log.flush();
+    m_shutdownFinished();
+}
+
+void NodeShell::Implementation::logUnansweredCallers()
+{
+    const TimePoint now = steadyNow();
+    int lines = 0;
+    for (const std::pair<const CallerId, WaitingCaller> &entry : m_callers) {
+        if (++lines > maximumUnansweredLines) {
+            return;
+        }
+        const WaitingCaller &caller = entry.second;
+        m_log.write(LogLevel::Warning, "request-cut", "the process ends before the answer",
+                    {{"kind", caller.m_kind},
+                     {"ageMicroseconds", (now - caller.m_arrived).count()},
+                     {"arrivedSinceShutdownMicroseconds",
+                      (caller.m_arrived - m_shutdown->m_begunAt).count()}});
+    }
+}
+
 } // namespace arbutusgrade
--- a/libs/node/src/nodeshell.cpp
+++ b/libs/node/src/nodeshell.cpp
@@ -359,7 +359,7 @@
 
 bool NodeShell::isShuttingDown() const
 {
-    return m_implementation->m_shuttingDown;
+    return m_implementation->m_shutdown.has_value();
 }
 
 HttpServer &NodeShell::server()
--- a/libs/node/src/statuspages.cpp
+++ b/libs/node/src/statuspages.cpp
@@ -149,7 +149,7 @@
 std::vector<std::string> NodeShell::Implementation::unreadyReasons() const
 {
     std::vector<std::string> reasons;
-    if (m_shuttingDown) {
+    if (m_shutdown) {
         reasons.emplace_back("shutting down");
     }
     if (m_revision < 0) {
@@ -170,7 +170,7 @@
         {"incarnation", m_options.m_incarnation},
         {"dataCentre", m_self.m_dataCentre},
         {"revision", m_revision},
-        {"shuttingDown", m_shuttingDown},
+        {"shuttingDown", m_shutdown.has_value()},
         {"uptimeSeconds", std::chrono::duration<double>(steadyNow() - m_started).count()},
         {"storeContactAgeSeconds", ageInSeconds(m_store.statistics().m_lastContact)},
         {"requestsInFlight", requestsInFlight(*m_engine)},
--- a/libs/node/tests/nodeshelltest.cpp
+++ b/libs/node/tests/nodeshelltest.cpp
@@ -32,7 +32,7 @@
         : m_target(m_context,
                    [this](RawServer::Peer &peer, const std::string &text) { handle(peer, text); }),
           m_platform(m_context, [this](RawServer::Peer &peer,
-                                       const std::string &) { peer.reply(200, m_vms); }),
+                                       const std::string &text) { handleStoreCall(peer, text); }),
           m_log(LogOptions{"n1", testing::TempDir() + "node-shell-test.log"}),
           m_shell(m_context, options(), m_log)
     {
@@ -67,7 +67,10 @@
         kind.m_name = "search";
         kind.m_group = "g";
         kind.m_deadline = Milliseconds(5000);
-        settings.m_kinds = {kind};
+        KindSettings orderKind = kind;
+        orderKind.m_name = "order";
+        orderKind.m_mode = AnswerMode::Once;
+        settings.m_kinds = {kind, orderKind};
         settings.m_shutdownLinger = Milliseconds(200);
         settings.m_shutdownBound = Milliseconds(1500);
         return settings;
@@ -96,6 +99,38 @@
         }
     }
 
+    void handleStoreCall(RawServer::Peer &peer, const std::string &text)
+    {
+        if (text.starts_with("GET /v1/vms")) {
+            peer.reply(200, m_vms);
+            return;
+        }
+        if (text.starts_with("POST /v1/leases")) {
+            peer.reply(200, R"({"lease":"1"})");
+            return;
+        }
+        peer.reply(200, storedReply);
+    }
+
+    //! @brief Sends a query that its target holds, and waits until it is there.
+    std::unique_ptr<RawClient> sendHeldQuery(std::string_view body)
+    {
+        m_hold = true;
+        std::unique_ptr<RawClient> client = send("POST", "/v1/query", body);
+        EXPECT_TRUE(runUntil(m_context, [&] { return !m_held.empty(); }));
+        return client;
+    }
+
+    //! @brief Begins the shutdown; m_finished and m_finishedAt tell when it ended.
+    void beginShutdown()
+    {
+        m_begunAt = steadyNow();
+        m_shell.beginShutdown([this] {
+            m_finished = true;
+            m_finishedAt = steadyNow();
+        });
+    }
+
     std::unique_ptr<RawClient> send(std::string_view method, std::string_view path,
                                     std::string_view body = {}, std::string_view headers = {})
     {
@@ -117,6 +152,20 @@
         return client->text();
     }
 
+    //! @brief Settings without targets come while the target works on the query.
+    void expectAnswerAfterSettingsAreEmpty(std::string_view body)
+    {
+        const std::unique_ptr<RawClient> busy = sendHeldQuery(body);
+        Settings changed = settings();
+        changed.m_kinds.clear();
+        changed.m_groups.clear();
+        ASSERT_TRUE(m_shell.adoptSettings(changed, 1));
+        runFor(m_context, std::chrono::milliseconds(300));
+        m_held.front()->reply(200, okReply(m_executed.front()));
+        EXPECT_TRUE(runUntil(m_context, [&] { return busy->received("\"traceId\""); }));
+        EXPECT_TRUE(busy->received(R"("outcome":"complete")")) << busy->text();
+    }
+
     bool statusShows(std::string_view text)
     {
         return runUntil(m_context, [&] {
@@ -126,8 +175,14 @@
 
     static constexpr std::string_view query = R"({"requestId":"r1","kind":"search","payload":{}})";
 
+    static constexpr std::string_view order = R"({"requestId":"o1","kind":"order","payload":{}})";
+    static constexpr std::string_view storedReply = R"({"value":"","revision":1})";
+
     asio::io_context m_context;
     bool m_hold = false;
+    bool m_finished = false;
+    TimePoint m_begunAt;
+    TimePoint m_finishedAt;
     bool m_probed = false;
     std::vector<std::string> m_executed;
     std::vector<RawServer::Peer *> m_held;
@@ -188,18 +243,75 @@
     EXPECT_TRUE(busy->received(R"("outcome":"complete")"));
 }
 
-// Guards against a shutdown that never ends because a target does not answer.
+// Guards against a shutdown that never ends because a target does not answer, and against one that
+// gives up its request earlier than the bound requires.
 TEST_F(NodeShellTest, ShutdownEndsAtItsBound)
 {
     start();
-    m_hold = true;
-    const std::unique_ptr<RawClient> busy = send("POST", "/v1/query", query);
-    ASSERT_TRUE(runUntil(m_context, [&] { return m_held.size() == 1; }));
-    bool finished = false;
-    const TimePoint started = steadyNow();
-    m_shell.beginShutdown([&] { finished = true; });
-    EXPECT_TRUE(runUntil(m_context, [&] { return finished; }));
-    EXPECT_GE(steadyNow() - started, Duration(1'500'000));
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(query);
+    beginShutdown();
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_GE(m_finishedAt - m_begunAt, Duration(1'250'000));
+    EXPECT_LE(m_finishedAt - m_begunAt, Duration(1'600'000));
+    EXPECT_TRUE(busy->received("traceId")) << "ended without an answer";
+}
+
+// Guards against an exit that cuts off a query whose deadline lies beyond it.
+TEST_F(NodeShellTest, ShutdownAnswersQueryThatOutlastsIt)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(query);
+    beginShutdown();
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_TRUE(runUntil(
+        m_context, [&] { return busy->received("\"traceId\""); }, std::chrono::milliseconds(200)));
+    EXPECT_TRUE(busy->received("502 Bad Gateway")) << busy->text();
+    EXPECT_TRUE(busy->received(R"("outcome":"failed","reason":"shutting-down")"));
+}
+
+// Guards against an exit that leaves a caller in doubt whether its order ran, without a word.
+TEST_F(NodeShellTest, ShutdownSaysThatOrderMayHaveRun)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(order);
+    beginShutdown();
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_TRUE(runUntil(
+        m_context, [&] { return busy->received("\"traceId\""); }, std::chrono::milliseconds(200)));
+    EXPECT_TRUE(busy->received(R"("outcome":"outcome-unknown","reason":"shutting-down")"))
+        << busy->text();
+}
+
+// Guards against an exit that a configuration moves forward while requests count on the old one.
+TEST_F(NodeShellTest, SettingsAdoptedDuringShutdownDoNotMoveItsEnd)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(query);
+    beginShutdown();
+    Settings changed = settings();
+    changed.m_shutdownBound = Milliseconds(300);
+    ASSERT_TRUE(m_shell.adoptSettings(changed, 1));
+    runFor(m_context, std::chrono::milliseconds(600));
+    EXPECT_FALSE(m_finished);
+    m_held.front()->reply(200, okReply(m_executed.front()));
+    EXPECT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_TRUE(busy->received(R"("outcome":"complete")")) << busy->text();
+}
+
+// Guards against a request in flight that ends because its target, kind and service leave the
+// settings.
+TEST_F(NodeShellTest, SettingsWithoutTargetLeaveItsQueryInFlight)
+{
+    start();
+    expectAnswerAfterSettingsAreEmpty(query);
+}
+
+// Guards against an order that ran and whose caller gets another answer because the settings
+// changed meanwhile.
+TEST_F(NodeShellTest, SettingsWithoutTargetLeaveItsOrderInFlight)
+{
+    start();
+    expectAnswerAfterSettingsAreEmpty(order);
 }
 
 // Guards against older settings that replace newer ones.
--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -12,6 +12,7 @@
 #include "base/base.h"
 #include "claims/claims.h"
 #include "settings/settings.h"
+#include "shutdown/shutdown.h"
 #include "targets/targets.h"
 
 //! @brief Request path of a node as a deterministic state machine that turns events into actions.
@@ -334,6 +335,13 @@
 //! @brief Time of the next timer, or farFuture.
 TimePoint nextWakeUp(const QueryEngine &engine);
 
+//! @brief Ends every request by the time at which the process can still send its answer.
+//!
+//! Requests keep their own deadlines where these are earlier. One that nothing was sent for is
+//! refused as not run as soon as it cannot be expected to end in time, also if it arrives later.
+void limitByShutdown(QueryEngine &engine, TimePoint now, const ShutdownSchedule &schedule,
+                     ActionList &actions);
+
 //! @brief Refuses all further requests; requests in flight complete normally.
 void beginShutdown(QueryEngine &engine);
 
--- a/libs/query/src/admission.cpp
+++ b/libs/query/src/admission.cpp
@@ -181,6 +181,23 @@
     shard.m_queueSequence = 0;
 }
 
+void changeDeadline(QueryEngine &engine, Request &request, TimePoint deadline)
+{
+    for (const SubRequest &shard : request.m_shards) {
+        if (shard.m_queueSequence == 0) {
+            continue;
+        }
+        std::set<QueueEntry> &entries = engine.m_queues[shard.m_service].m_entries;
+        const auto found = entries.find(QueueEntry{request.m_priority, request.m_deadline,
+                                                   shard.m_queueSequence, request.m_key, 0});
+        QueueEntry entry = *found;
+        entries.erase(found);
+        entry.m_deadline = deadline;
+        entries.insert(entry);
+    }
+    request.m_deadline = deadline;
+}
+
 void dispatchQueued(QueryEngine &engine, const Event &event, ServiceIndex service)
 {
     ServiceQueue &queue = engine.m_queues[service];
--- a/libs/query/src/coverage.cpp
+++ b/libs/query/src/coverage.cpp
@@ -132,6 +132,10 @@
     checkNotRun(engine, request, answer.m_outcome);
     recordRequestSpan(engine, event, request, answer.m_outcome);
     request.m_answered = true;
+    if (request.m_attemptsSent > 0) {
+        addLatency(engine.m_kinds[request.m_kind].m_latencies, event.m_now,
+                   event.m_now - request.m_submittedAt);
+    }
     --engine.m_unansweredRequests;
     ++engine.m_statistics.m_answers;
     ++engine.m_statistics.m_outcomes[static_cast<std::size_t>(answer.m_outcome)];
--- a/libs/query/src/details/operations.h
+++ b/libs/query/src/details/operations.h
@@ -43,12 +43,18 @@
 void enqueueShard(QueryEngine &engine, const Event &event, Request &request, ShardIndex shard);
 void dequeueShard(QueryEngine &engine, const Request &request, SubRequest &shard);
 
+//! @brief Changes the deadline of a request, by which its queued sub-requests are sorted.
+void changeDeadline(QueryEngine &engine, Request &request, TimePoint deadline);
+
 //! @brief Sends queued sub-requests of the service while there is capacity.
 void dispatchQueued(QueryEngine &engine, const Event &event, ServiceIndex service);
 void retryServiceQueue(QueryEngine &engine, const Event &event, ServiceIndex service);
 
 // submit.cpp
 
+//! @brief Refuses a request that no target was sent, as far as its earlier sends allow.
+void refuseRequest(QueryEngine &engine, const Event &event, Request &request, Reason reason);
+
 //! @brief Accepts the requests that were deferred after a pause.
 void submitDeferredRequests(QueryEngine &engine, const Event &event);
 
@@ -179,9 +185,19 @@
 //! @brief Answers a once request without a result and releases the claim if no target can have
 //! executed it.
 void refuseOnce(QueryEngine &engine, const Event &event, Request &request, Reason reason);
-void expireOnce(QueryEngine &engine, const Event &event, Request &request);
 void removeOnceIfSettled(QueryEngine &engine, Request &request);
 
+// shutdown.cpp
+
+//! @brief True if a planned stop leaves the request enough time, or none has begun.
+bool endsBeforeShutdown(const QueryEngine &engine, TimePoint now, const Request &request);
+
+//! @brief Makes the request end before the planned stop does, if one has begun.
+void limitRequestByShutdown(QueryEngine &engine, const Event &event, Request &request);
+
+//! @brief Refuses the request if no target can have executed it.
+void refuseBeforeShutdown(QueryEngine &engine, const Event &event, RequestKey key);
+
 // spans.cpp
 
 //! Prevents the span id of a request from matching that of an attempt with the same number.
--- a/libs/query/src/details/state.h
+++ b/libs/query/src/details/state.h
@@ -87,6 +87,7 @@
     bool m_answered = false;
     bool m_payloadProbeExpired = false; //!< Shards no longer wait for the payload probe.
     bool m_earlyAnswerScheduled = false;
+    bool m_limitedByShutdown = false; //!< The deadline is the end of a planned stop.
     std::unique_ptr<OnceState> m_once;
 };
 
@@ -175,10 +176,12 @@
 {
     KindSettings m_settings;
     GroupIndex m_group = noIndex;
+    LatencyEstimate m_latencies; //!< Of whole requests that were passed on.
 };
 
 enum class TimerKind : std::uint8_t {
     RequestDeadline,
+    ShutdownRefusal,
     EarlyAnswer,
     PayloadProbeTimeout,
     RetryShard,
@@ -220,6 +223,7 @@
     QueryOptions m_options;
     bool m_configured = false;
     bool m_shuttingDown = false;
+    std::optional<ShutdownSchedule> m_shutdown; //!< Of the planned stop that has begun.
     RandomGenerator m_random;
     InvariantCounters m_invariants;
     QueryStatistics m_statistics;
--- a/libs/query/src/once.cpp
+++ b/libs/query/src/once.cpp
@@ -313,11 +313,6 @@
     }
 }
 
-void expireOnce(QueryEngine &engine, const Event &event, Request &request)
-{
-    refuseOnce(engine, event, request, Reason::Deadline);
-}
-
 void removeOnceIfSettled(QueryEngine &engine, Request &request)
 {
     if (!request.m_answered) {
--- a/libs/query/src/submit.cpp
+++ b/libs/query/src/submit.cpp
@@ -67,14 +67,13 @@
     request.m_span = spanId(engine, request.m_key ^ requestSpanBit);
 }
 
-void refuseRequest(QueryEngine &engine, const Event &event, Request &request, Reason reason)
-{
-    const Outcome outcome = refusalOutcome(request.m_mode, request.m_caller.m_sendNumber, false);
-    answerWithoutEntries(engine, event, request, outcome, reason);
-}
-
 void startRequest(QueryEngine &engine, const Event &event, Request &request)
 {
+    if (!endsBeforeShutdown(engine, event.m_now, request)) {
+        refuseRequest(engine, event, request, Reason::ShuttingDown);
+        return;
+    }
+    limitRequestByShutdown(engine, event, request);
     if (missesDeadline(engine, event.m_now, request)) {
         refuseRequest(engine, event, request, Reason::Overload);
         return;
@@ -130,6 +129,12 @@
 
 } // namespace
 
+void refuseRequest(QueryEngine &engine, const Event &event, Request &request, Reason reason)
+{
+    const Outcome outcome = refusalOutcome(request.m_mode, request.m_caller.m_sendNumber, false);
+    answerWithoutEntries(engine, event, request, outcome, reason);
+}
+
 void submitRequest(QueryEngine &engine, TimePoint now, const CallerRequest &caller,
                    ActionList &actions)
 {
--- a/libs/query/src/timers.cpp
+++ b/libs/query/src/timers.cpp
@@ -27,14 +27,15 @@
     if (request == nullptr || request->m_answered) {
         return;
     }
+    const Reason reason = request->m_limitedByShutdown ? Reason::ShuttingDown : Reason::Deadline;
     if (request->m_mode == AnswerMode::Once) {
         if (request->m_attemptsSent == 0 && hasMutant(engine, QueryMutant::SendAfterDeadline)) {
             return;
         }
-        expireOnce(engine, event, *request);
+        refuseOnce(engine, event, *request, reason);
         return;
     }
-    answerWithCoverage(engine, event, *request, Reason::Deadline);
+    answerWithCoverage(engine, event, *request, reason);
 }
 
 void answerEarly(QueryEngine &engine, const Event &event, RequestKey key)
@@ -95,6 +96,9 @@
     case TimerKind::RequestDeadline:
         expireRequest(engine, event, timer.m_subject);
         break;
+    case TimerKind::ShutdownRefusal:
+        refuseBeforeShutdown(engine, event, timer.m_subject);
+        break;
     case TimerKind::EarlyAnswer:
         answerEarly(engine, event, timer.m_subject);
         break;
--- a/tests/nodestoptest.cpp
+++ b/tests/nodestoptest.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <future>
+#include <thread>
 
 #include "systemtest.h"
 
@@ -8,15 +9,16 @@
 namespace {
 
 using std::chrono::seconds;
+using std::chrono::steady_clock;
 
 constexpr milliseconds linger{500};
 constexpr milliseconds bound{2500};
 
-//! Time of a target for one request, beyond the rest of a stop that began before it.
-constexpr double longServiceMs = 4000;
+//! Time of a target for one request, longer than a whole stop.
+constexpr milliseconds longService{4000};
 
-//! @brief One node whose targets need longer than a stop takes, and patient kinds.
-SitePlan slowPlan()
+//! @brief One node with patient kinds.
+SitePlan patientPlan()
 {
     SitePlan plan = fanOutPlan(1, 2);
     plan.m_shutdownLingerMs = static_cast<int>(linger.count());
@@ -24,13 +26,24 @@
     for (KindSettings &kind : plan.m_kinds) {
         kind.m_deadline = Milliseconds(8000);
     }
-    for (GroupPlan &group : plan.m_groups) {
-        group.m_serviceMs = longServiceMs;
-        group.m_serviceSpread = 0;
-    }
     return plan;
 }
 
+//! @brief Starts the node, waits until it has answered a search, then slows the targets down.
+void startWithTargetsOf(Site &site, milliseconds serviceTime)
+{
+    site.startNodes();
+    const bool served =
+        waitUntil([&site] { return site.query(0, makeRequest("first", "search")).m_status == 200; },
+                  seconds(5));
+    ASSERT_TRUE(served);
+    const std::string behaviour = boost::json::serialize(
+        boost::json::object{{"serviceMs", serviceTime.count()}, {"serviceSpread", 0}});
+    for (const GroupPlan &group : site.plan().m_groups) {
+        site.callGroup(group.m_name, "PUT", "/v1/faults", behaviour);
+    }
+}
+
 std::future<HttpReply> queryLater(const Site &site, const std::string &id, const std::string &kind)
 {
     return std::async(std::launch::async,
@@ -48,15 +61,72 @@
         seconds(5));
 }
 
-// Guards against SIGHUP, whose default action ends the process and cuts off everything in flight.
-TEST(NodeStop, SighupEndsNothing)
+std::string text(const boost::json::object &answer, std::string_view field)
+{
+    const boost::json::value *value = answer.if_contains(field);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+// Guards against a process that ends while callers wait: each request in flight at SIGTERM has a
+// whole answer before the exit, and says truthfully whether it may have run.
+TEST(NodeStop, EachRequestInFlightIsAnsweredBeforeTheExit)
 {
-    SitePlan plan = slowPlan();
-    for (GroupPlan &group : plan.m_groups) {
-        group.m_serviceMs = 600;
+    Site site(patientPlan(), programs);
+    startWithTargetsOf(site, longService);
+    std::future<HttpReply> search = queryLater(site, "s1", "search");
+    std::future<HttpReply> urgent = queryLater(site, "u1", "urgent");
+    std::future<HttpReply> order = queryLater(site, "o1", "order");
+    ASSERT_TRUE(waitForRequests(site, 3));
+    const steady_clock::time_point signalled = steady_clock::now();
+    site.node(0).sendSignal(SIGTERM);
+    const std::optional<ExitState> end = site.node(0).wait(milliseconds(4000));
+    const steady_clock::duration taken = steady_clock::now() - signalled;
+    ASSERT_TRUE(end.has_value());
+    EXPECT_EQ(end->m_code, 0);
+    EXPECT_LT(taken, bound + milliseconds(500));
+    for (std::future<HttpReply> *const idempotent : {&search, &urgent}) {
+        const HttpReply reply = idempotent->get();
+        ASSERT_EQ(reply.m_status, 502U) << reply.m_body << reply.m_error;
+        EXPECT_EQ(text(jsonBody(reply), "reason"), "shutting-down");
     }
+    const HttpReply ordered = order.get();
+    ASSERT_EQ(ordered.m_status, 504U) << ordered.m_body << ordered.m_error;
+    EXPECT_EQ(text(jsonBody(ordered), "outcome"), "outcome-unknown");
+}
+
+// Guards against a request that a stopping node takes although it cannot end it: it is refused at
+// once, truthfully as not run.
+TEST(NodeStop, RequestThatCannotEndIsRefusedAtOnce)
+{
+    SitePlan plan = patientPlan();
+    plan.m_shutdownLingerMs = 2000;
     Site site(plan, programs);
-    site.startNodes();
+    startWithTargetsOf(site, longService);
+    // The node learns from a few searches how long they take.
+    constexpr int slowSearches = 4;
+    std::vector<std::future<HttpReply>> searches;
+    searches.reserve(slowSearches);
+    for (int number = 0; number < slowSearches; ++number) {
+        searches.push_back(queryLater(site, "s" + std::to_string(number), "search"));
+    }
+    for (std::future<HttpReply> &search : searches) {
+        search.wait();
+    }
+    site.node(0).sendSignal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(200));
+    const steady_clock::time_point sent = steady_clock::now();
+    const HttpReply reply = site.query(0, makeRequest("late", "search"));
+    EXPECT_LT(steady_clock::now() - sent, milliseconds(500));
+    ASSERT_EQ(reply.m_status, 503U) << reply.m_body << reply.m_error;
+    EXPECT_EQ(text(jsonBody(reply), "outcome"), "not-run");
+    EXPECT_EQ(text(jsonBody(reply), "reason"), "shutting-down");
+}
+
+// Guards against SIGHUP, whose default action ends the process and cuts off everything in flight.
+TEST(NodeStop, SighupEndsNothing)
+{
+    Site site(patientPlan(), programs);
+    startWithTargetsOf(site, milliseconds(600));
     std::future<HttpReply> calm = queryLater(site, "s1", "search");
     ASSERT_TRUE(waitForRequests(site, 1));
     site.node(0).sendSignal(SIGHUP);
