Wait for closed connections before the daemon ends

The stop ended as soon as no request was being answered. A connection whose answer was written, but which its caller had not closed, ended with the process: bytes of the caller that were not read then reset it, and the caller may lose an answer that was sent.

ShutdownWaitsUntilConnectionsAreClosed (node-test) failed with one open connection at the end.

The stop now ends when the server has no connection left, or at its bound.

--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -88,7 +88,8 @@
     //! @brief Begins a graceful shutdown; later calls have no effect.
     //!
     //! Accepting goes on for the linger time of the settings, then requests in flight end within
-    //! the bound of the settings. The handler is called when nothing is in flight any more.
+    //! the bound of the settings. The handler is called when nothing is in flight any more and the
+    //! connections of callers are closed, or when the bound is over.
     void beginShutdown(std::function<void()> finished);
 
     //! @brief Feeds knowledge of a target from a peer to the engine.
--- a/libs/node/src/lifecycle.cpp
+++ b/libs/node/src/lifecycle.cpp
@@ -142,7 +142,8 @@
 
 void NodeShell::Implementation::waitForEnd()
 {
-    const bool ended = requestsInFlight(*m_engine) == 0 && m_server.requestsInFlight() == 0;
+    // A connection that ends with the process may reset before its caller has read the answer.
+    const bool ended = requestsInFlight(*m_engine) == 0 && m_server.statistics().m_connections == 0;
     if (ended || steadyNow() >= m_shutdown->m_exitBy) {
         endShutdown();
         return;
--- a/libs/node/tests/nodeshelltest.cpp
+++ b/libs/node/tests/nodeshelltest.cpp
@@ -128,6 +128,7 @@
         m_shell.beginShutdown([this] {
             m_finished = true;
             m_finishedAt = steadyNow();
+            m_connectionsAtEnd = m_shell.server().statistics().m_connections;
         });
     }
 
@@ -183,6 +184,7 @@
     bool m_finished = false;
     TimePoint m_begunAt;
     TimePoint m_finishedAt;
+    std::size_t m_connectionsAtEnd = 0;
     bool m_probed = false;
     std::vector<std::string> m_executed;
     std::vector<RawServer::Peer *> m_held;
@@ -298,6 +300,18 @@
     EXPECT_TRUE(busy->received(R"("outcome":"complete")")) << busy->text();
 }
 
+// Guards against an exit while the peer of a connection has not yet read its answer to the end.
+TEST_F(NodeShellTest, ShutdownWaitsUntilConnectionsAreClosed)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(query);
+    beginShutdown();
+    runFor(m_context, std::chrono::milliseconds(300));
+    m_held.front()->reply(200, okReply(m_executed.front()));
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_EQ(m_connectionsAtEnd, 0U);
+}
+
 // Guards against a request in flight that ends because its target, kind and service leave the
 // settings.
 TEST_F(NodeShellTest, SettingsWithoutTargetLeaveItsQueryInFlight)
