Wait for the claims of orders before the daemon ends

An order is answered before its claim is recorded or released in the store. A stop that ended in between left the claim as taken: a caller who sent the order again (after `not-run`, or to learn the result) was told `outcome-unknown` for 25 h, the life of the claim, although the result was known here.

ShutdownWaitsUntilResultOfOrderIsRecorded (node-test) failed: with the store holding the write, the process ended after the linger of 200 ms, though its bound was 1.5 s.

--- a/libs/node/src/lifecycle.cpp
+++ b/libs/node/src/lifecycle.cpp
@@ -142,8 +142,10 @@
 
 void NodeShell::Implementation::waitForEnd()
 {
-    // A connection that ends with the process may reset before its caller has read the answer.
-    const bool ended = requestsInFlight(*m_engine) == 0 && m_server.statistics().m_connections == 0;
+    // A connection that ends with the process may reset before its caller has read the answer. A
+    // claim that is neither recorded nor released leaves its next send in doubt.
+    const bool ended = requestsInFlight(*m_engine) == 0 && storeCallsInFlight(*m_engine) == 0
+                       && m_server.statistics().m_connections == 0;
     if (ended || steadyNow() >= m_shutdown->m_exitBy) {
         endShutdown();
         return;
@@ -166,6 +168,7 @@
                 {{"requestsInFlight", requests},
                  {"sinceShutdownMicroseconds", (steadyNow() - m_shutdown->m_begunAt).count()},
                  {"unanswered", m_callers.size()},
+                 {"storeCalls", storeCallsInFlight(*m_engine)},
                  {"reading", counts.m_reading},
                  {"handling", counts.m_handling},
                  {"writing", counts.m_writing},
--- a/libs/node/tests/nodeshelltest.cpp
+++ b/libs/node/tests/nodeshelltest.cpp
@@ -109,7 +109,11 @@
             peer.reply(200, R"({"lease":"1"})");
             return;
         }
-        peer.reply(200, storedReply);
+        if (m_holdStore) {
+            m_heldStoreCalls.push_back(&peer);
+        } else {
+            peer.reply(200, storedReply);
+        }
     }
 
     //! @brief Sends a query that its target holds, and waits until it is there.
@@ -181,6 +185,8 @@
 
     asio::io_context m_context;
     bool m_hold = false;
+    bool m_holdStore = false;
+    std::vector<RawServer::Peer *> m_heldStoreCalls;
     bool m_finished = false;
     TimePoint m_begunAt;
     TimePoint m_finishedAt;
@@ -312,6 +318,24 @@
     EXPECT_EQ(m_connectionsAtEnd, 0U);
 }
 
+// Guards against a claim whose result is lost because the process ends while it is being recorded:
+// a re-send would be told that the outcome is unknown.
+TEST_F(NodeShellTest, ShutdownWaitsUntilResultOfOrderIsRecorded)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(order);
+    m_holdStore = true;
+    m_held.front()->reply(200, okReply(m_executed.front()));
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_heldStoreCalls.size() == 1; }));
+    EXPECT_TRUE(runUntil(m_context, [&] { return busy->received(R"("outcome":"complete")"); }));
+    beginShutdown();
+    runFor(m_context, std::chrono::milliseconds(600));
+    EXPECT_FALSE(m_finished);
+    m_heldStoreCalls.front()->reply(200, storedReply);
+    EXPECT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_LT(m_finishedAt - m_begunAt, Duration(1'450'000));
+}
+
 // Guards against a request in flight that ends because its target, kind and service leave the
 // settings.
 TEST_F(NodeShellTest, SettingsWithoutTargetLeaveItsQueryInFlight)
--- a/libs/query/include/query/query.h
+++ b/libs/query/include/query/query.h
@@ -348,6 +348,10 @@
 //! @brief Number of requests not yet answered.
 std::size_t requestsInFlight(const QueryEngine &engine);
 
+//! @brief Number of store calls without a reply. They may record or release the claim of a request
+//! that was answered.
+std::size_t storeCallsInFlight(const QueryEngine &engine);
+
 const QueryStatistics &queryStatistics(const QueryEngine &engine);
 InvariantCounters &invariantCounters(QueryEngine &engine);
 std::vector<TargetView> targetViews(const QueryEngine &engine);
--- a/libs/query/src/engine.cpp
+++ b/libs/query/src/engine.cpp
@@ -191,6 +191,11 @@
            + engine.m_delayedAnswers.size();
 }
 
+std::size_t storeCallsInFlight(const QueryEngine &engine)
+{
+    return engine.m_storeCalls.size();
+}
+
 const QueryStatistics &queryStatistics(const QueryEngine &engine)
 {
     return engine.m_statistics;
