Answer changes of operators before the daemon ends

A change of the configuration, or a look-up of one, that was in flight while the store did not answer had its own limit (8 s and 2 s), whatever was left of the process. A node that got SIGTERM meanwhile ended first, and the operator read `end of stream` in place of `applied: unknown`.

A service is now told the times of the stop, and the configuration limits its writes and look-ups to the time at which answers can still be written.

Read for the same cause and left as they are: pulls between nodes are answered at once from memory and no request is forwarded to a peer, so a node that ends leaves at most a connection that closes; the caller of a pull ends then, or after its 2 s.

--- a/libs/cluster/src/clusterservice.cpp
+++ b/libs/cluster/src/clusterservice.cpp
@@ -91,8 +91,9 @@
     runDueTimers();
 }
 
-void ClusterService::stop()
+void ClusterService::stop(const ShutdownSchedule &schedule)
 {
+    limitAnswers(m_configuration, schedule.m_answerBy);
     processMembershipEvent([this](TimePoint now, MembershipActions &actions) {
         leaveCluster(m_membership, now, actions);
     });
--- a/libs/cluster/src/details/clusterservice.h
+++ b/libs/cluster/src/details/clusterservice.h
@@ -19,7 +19,7 @@
     ClusterService(NodeShell &shell, const ClusterOptions &options, const NodeSettings &self);
 
     void start() override;
-    void stop() override;
+    void stop(const ShutdownSchedule &schedule) override;
     void tick(TimePoint now) override;
     void settingsAdopted(const Settings &settings, std::int64_t revision) override;
     void contributeStatus(boost::json::object &status) const override;
--- a/libs/configuration/include/configuration/configuration.h
+++ b/libs/configuration/include/configuration/configuration.h
@@ -285,8 +285,9 @@
     TimePoint m_tokensAt{};
     TimePoint m_lastAdvance{};
     std::uint64_t m_lastCall = 0;
-    std::map<std::uint64_t, PendingWrite> m_writes;         //!< By request.
-    std::map<std::uint64_t, LookUp> m_lookUps;              //!< By call.
+    std::map<std::uint64_t, PendingWrite> m_writes; //!< By request.
+    std::map<std::uint64_t, LookUp> m_lookUps;      //!< By call.
+    TimePoint m_answerBy = farFuture;               //!< Writes and look-ups are answered by then.
     std::map<ConfigurationAlarmKind, std::string> m_alarms; //!< Raised and not over.
 };
 
@@ -314,6 +315,10 @@
 void handleStoreReply(ConfigurationCore &core, TimePoint now, const ConfigurationStoreReply &reply,
                       ConfigurationActions &actions);
 
+//! @brief Answers all writes and look-ups by this time, because the process ends after it. What is
+//! not settled by then is unknown.
+void limitAnswers(ConfigurationCore &core, TimePoint answerBy);
+
 //! @brief Starts a write; answered by exactly one AnswerWrite, possibly at once.
 void submitWrite(ConfigurationCore &core, TimePoint now, const ConfigurationWrite &write,
                  ConfigurationActions &actions);
--- a/libs/configuration/src/write.cpp
+++ b/libs/configuration/src/write.cpp
@@ -348,6 +348,17 @@
 
 } // namespace configurationdetails
 
+void limitAnswers(ConfigurationCore &core, TimePoint answerBy)
+{
+    core.m_answerBy = answerBy;
+    for (std::pair<const std::uint64_t, PendingWrite> &entry : core.m_writes) {
+        entry.second.m_deadline = std::min(entry.second.m_deadline, answerBy);
+    }
+    for (std::pair<const std::uint64_t, LookUp> &entry : core.m_lookUps) {
+        entry.second.m_deadline = std::min(entry.second.m_deadline, answerBy);
+    }
+}
+
 void submitWrite(ConfigurationCore &core, TimePoint now, const ConfigurationWrite &write,
                  ConfigurationActions &actions)
 {
@@ -358,7 +369,7 @@
     }
     PendingWrite pending;
     pending.m_write = write;
-    pending.m_deadline = now + core.m_options.m_writeTimeout;
+    pending.m_deadline = std::min(now + core.m_options.m_writeTimeout, core.m_answerBy);
     if (!core.m_ready) {
         finishUnsettled(core, pending, "the node has no configuration yet", actions);
         return;
@@ -398,8 +409,8 @@
         return;
     }
     const std::uint64_t call = callStore(core, now, CallConfigurationStore{}, actions);
-    core.m_lookUps[call] =
-        LookUp{request, std::string(changeId), now + core.m_options.m_callTimeout};
+    const TimePoint deadline = std::min(now + core.m_options.m_callTimeout, core.m_answerBy);
+    core.m_lookUps[call] = LookUp{request, std::string(changeId), deadline};
 }
 
 } // namespace arbutusgrade
--- a/libs/configuration/tests/configurationtest.cpp
+++ b/libs/configuration/tests/configurationtest.cpp
@@ -328,6 +328,27 @@
     }
 }
 
+// Guards against an operator without an answer when the process ends before the store settles the
+// change, and against a look-up that is left open in the same way.
+TEST_F(ConfigurationTest, ProcessThatEndsAnswersItsWritesAndLookUpsBefore)
+{
+    boot(5);
+    EXPECT_EQ(write().size(), 1U);
+    lookUpChange(m_core, m_now, 8, "other", m_actions);
+    const TimePoint answerBy = m_now + second;
+    limitAnswers(m_core, answerBy);
+    lookUpChange(m_core, m_now, 9, "another", m_actions);
+    advance(answerBy - m_now - Duration(1));
+    EXPECT_TRUE(pick<AnswerWrite>(m_actions).empty());
+    EXPECT_TRUE(pick<AnswerChange>(m_actions).empty());
+    advance(Duration(1));
+    EXPECT_EQ(answer().m_result, WriteResult::Unknown);
+    const std::vector<AnswerChange> lookUps = pick<AnswerChange>(m_actions);
+    ASSERT_EQ(lookUps.size(), 2U);
+    EXPECT_EQ(lookUps[0].m_state, ChangeState::Unknown);
+    EXPECT_EQ(lookUps[1].m_state, ChangeState::Unknown);
+}
+
 // Guards against a second operator who overwrites the change of the first unseen.
 TEST_F(ConfigurationTest, RaceGivesAConflictWithTheDifference)
 {
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -12,6 +12,7 @@
 
 #include "query/query.h"
 #include "settings/settings.h"
+#include "shutdown/shutdown.h"
 #include "telemetry/telemetry.h"
 #include "transport/transport.h"
 
@@ -33,7 +34,8 @@
     virtual void start() { }
 
     //! @brief Called when the node begins to leave: give up roles and tell the peers.
-    virtual void stop() { }
+    //! Requests that the service handles are to be answered within the schedule.
+    virtual void stop(const ShutdownSchedule & /*schedule*/) { }
 
     //! @brief Called about every 100 ms, and first of all after a pause of the process.
     virtual void tick(TimePoint /*now*/) { }
--- a/libs/node/src/details/nodeimplementation.h
+++ b/libs/node/src/details/nodeimplementation.h
@@ -8,7 +8,6 @@
 
 #include "details/targetwatch.h"
 #include "node/node.h"
-#include "shutdown/shutdown.h"
 
 namespace arbutusgrade {
 
--- a/libs/node/src/lifecycle.cpp
+++ b/libs/node/src/lifecycle.cpp
@@ -119,7 +119,7 @@
     m_server.announceClose();
     feed([this](TimePoint now) { limitByShutdown(*m_engine, now, *m_shutdown, m_actions); });
     for (const std::unique_ptr<NodeService> &service : m_services) {
-        service->stop();
+        service->stop(*m_shutdown);
     }
     m_shutdownTimer.expires_at(m_shutdown->m_acceptUntil);
     m_shutdownTimer.async_wait([this](boost::system::error_code error) {
--- a/tests/nodestoptest.cpp
+++ b/tests/nodestoptest.cpp
@@ -122,6 +122,38 @@
     EXPECT_EQ(text(jsonBody(reply), "reason"), "shutting-down");
 }
 
+// Guards against an operator who is left without an answer when the node that carries a change
+// stops while the store does not answer.
+TEST(NodeStop, ChangeInFlightIsAnsweredBeforeTheExit)
+{
+    Site site(patientPlan(), programs);
+    startWithTargetsOf(site, longService);
+    site.callStore("PUT", "/v1/faults", R"({"hang":true})");
+    const boost::json::object change{{"changeId", "change-first"},
+                                     {"expectedRevision", 0},
+                                     {"author", "kari"},
+                                     {"base", site.settingsText()},
+                                     {"overlays", boost::json::object()}};
+    std::future<HttpReply> write = std::async(std::launch::async, [&site, &change] {
+        return httpCall(site.callerPort(0), "POST", "/v1/admin/configuration",
+                        boost::json::serialize(change));
+    });
+    std::future<HttpReply> lookUp = std::async(std::launch::async, [&site] {
+        return httpCall(site.callerPort(0), "GET", "/v1/admin/changes/change-other");
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    site.node(0).sendSignal(SIGTERM);
+    const std::optional<ExitState> end = site.node(0).wait(milliseconds(4000));
+    ASSERT_TRUE(end.has_value());
+    EXPECT_EQ(end->m_code, 0);
+    const HttpReply written = write.get();
+    ASSERT_EQ(written.m_status, 503U) << written.m_body << written.m_error;
+    EXPECT_EQ(text(jsonBody(written), "applied"), "unknown");
+    const HttpReply lookedUp = lookUp.get();
+    ASSERT_EQ(lookedUp.m_status, 200U) << lookedUp.m_body << lookedUp.m_error;
+    EXPECT_EQ(text(jsonBody(lookedUp), "state"), "unknown");
+}
+
 // Guards against SIGHUP, whose default action ends the process and cuts off everything in flight.
 TEST(NodeStop, SighupEndsNothing)
 {
