--- a/libs/node/tests/nodeshelltest.cpp
+++ b/libs/node/tests/nodeshelltest.cpp
@@ -344,6 +344,22 @@
     expectAnswerAfterSettingsAreEmpty(query);
 }
 
+// Guards against a request in flight that ends because its target gets another address.
+TEST_F(NodeShellTest, SettingsWithOtherAddressLeaveQueryInFlight)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(query);
+    RawServer other(m_context,
+                    [](RawServer::Peer &peer, const std::string &) { peer.reply(503, "{}"); });
+    Settings changed = settings();
+    changed.m_groups[0].m_services[0].m_targets[0].m_port = other.port();
+    ASSERT_TRUE(m_shell.adoptSettings(changed, 1));
+    runFor(m_context, std::chrono::milliseconds(300));
+    m_held.front()->reply(200, okReply(m_executed.front()));
+    EXPECT_TRUE(runUntil(m_context, [&] { return busy->received("traceId"); }));
+    EXPECT_TRUE(busy->received(R"("outcome":"complete")")) << busy->text();
+}
+
 // Guards against an order that ran and whose caller gets another answer because the settings
 // changed meanwhile.
 TEST_F(NodeShellTest, SettingsWithoutTargetLeaveItsOrderInFlight)
