--- a/libs/node/tests/nodeshelltest.cpp
+++ b/libs/node/tests/nodeshelltest.cpp
@@ -1,5 +1,8 @@
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <boost/json/parse.hpp>
 #include <gtest/gtest.h>
@@ -125,6 +128,21 @@
         return client;
     }
 
+    //! @brief Number that the log gave last for a field.
+    static std::string lastLoggedNumber(const std::string &field)
+    {
+        std::ifstream file(testing::TempDir() + "node-shell-test.log");
+        const std::string log{std::istreambuf_iterator<char>(file),
+                              std::istreambuf_iterator<char>()};
+        const std::string name = '"' + field + "\":";
+        const std::size_t found = log.rfind(name);
+        if (found == std::string::npos) {
+            return {};
+        }
+        const std::size_t start = found + name.size();
+        return log.substr(start, log.find_first_not_of("0123456789", start) - start);
+    }
+
     //! @brief Begins the shutdown; m_finished and m_finishedAt tell when it ended.
     void beginShutdown()
     {
@@ -133,6 +151,7 @@
             m_finished = true;
             m_finishedAt = steadyNow();
             m_connectionsAtEnd = m_shell.server().statistics().m_connections;
+            m_unansweredAtEnd = lastLoggedNumber("unanswered");
         });
     }
 
@@ -191,6 +210,7 @@
     TimePoint m_begunAt;
     TimePoint m_finishedAt;
     std::size_t m_connectionsAtEnd = 0;
+    std::string m_unansweredAtEnd; //!< As the last line of the shutdown has it.
     bool m_probed = false;
     std::vector<std::string> m_executed;
     std::vector<RawServer::Peer *> m_held;
@@ -306,6 +326,18 @@
     EXPECT_TRUE(busy->received(R"("outcome":"complete")")) << busy->text();
 }
 
+// Guards against an exit before the last answers when the process stalls near the end of its stop.
+TEST_F(NodeShellTest, ShutdownAnswersRequestsAfterAStallAtItsEnd)
+{
+    start();
+    const std::unique_ptr<RawClient> busy = sendHeldQuery(query);
+    beginShutdown();
+    runFor(m_context, std::chrono::milliseconds(1'100));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    ASSERT_TRUE(runUntil(m_context, [&] { return m_finished; }));
+    EXPECT_EQ(m_unansweredAtEnd, "0");
+}
+
 // Guards against an exit while the peer of a connection has not yet read its answer to the end.
 TEST_F(NodeShellTest, ShutdownWaitsUntilConnectionsAreClosed)
 {
