--- a/tests/plannedstop/plannedstoptest.cpp
+++ b/tests/plannedstop/plannedstoptest.cpp
@@ -101,6 +101,7 @@
     const milliseconds stopAt = timeSince(site.start()) + milliseconds(1'000);
     std::vector<SentRequest> requests(callers);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int number = 0; number < callers; ++number) {
         const milliseconds sendAt =
             stopAt + firstSend + (lastSend - firstSend) * number / (callers - 1);
@@ -142,6 +143,7 @@
     const milliseconds stopAt = timeSince(site.start()) + milliseconds(500);
     std::vector<SentRequest> requests(callers);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int number = 0; number < callers; ++number) {
         threads.emplace_back([&site, &requests, number, stopAt] {
             requests[static_cast<std::size_t>(number)] =
