Ask in one place whether a connection has an unread request

endIdle() and close() looked at the socket themselves beside the new hasUnreadRequest(). Both run while the connection is idle, when the buffer is empty, so the answer is the same. transport-test (58) and gatewaynode-test (22) pass.

--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -94,8 +94,7 @@
     if (m_phase != Phase::Idle) {
         return;
     }
-    error_code ignored;
-    if (m_socket.available(ignored) > 0) {
+    if (hasUnreadRequest()) {
         startReading();
     } else {
         close();
@@ -408,10 +407,10 @@
     if (m_phase == Phase::Closed) {
         return;
     }
-    error_code ignored;
-    const bool hasUnreadBytes = m_phase == Phase::Idle && m_socket.available(ignored) > 0;
+    const bool hasUnreadBytes = m_phase == Phase::Idle && hasUnreadRequest();
     m_phase = Phase::Closed;
     m_deadline = farFuture;
+    error_code ignored;
     m_socket.close(ignored);
     if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
         state->m_statistics.m_closedWithUnreadBytes += hasUnreadBytes ? 1 : 0;
