Derive whether the gateway shuts down from its schedule

A flag stood beside the schedule that is set with it. The daemon already keeps one optional schedule; the gateway does the same now. gatewaynode-test (22), gateway-test (15) and the two single cases of planned-stop-test pass.

--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -78,9 +79,8 @@
     boost::asio::steady_timer m_shutdownTimer;
     TimePoint m_lastBootTime;
     TimePoint m_lastSteadyTime;
-    ShutdownSchedule m_shutdown; //!< Set when a planned stop begins.
+    std::optional<ShutdownSchedule> m_shutdown; //!< Empty until a planned stop begins.
     std::function<void()> m_shutdownFinished;
-    bool m_shuttingDown = false;
     bool m_loggedReady = false;
     bool m_loggedRoundTripUnknown = false;
 };
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -325,7 +325,7 @@
 
 bool GatewayNode::Implementation::isReady() const
 {
-    return m_storeSync.isComplete() && !m_shuttingDown && !m_engine.isIsolated(bootTimeNow());
+    return m_storeSync.isComplete() && !m_shutdown && !m_engine.isIsolated(bootTimeNow());
 }
 
 void GatewayNode::Implementation::logReadiness()
--- a/libs/gatewaynode/src/lifecycle.cpp
+++ b/libs/gatewaynode/src/lifecycle.cpp
@@ -23,10 +23,9 @@
 
 void GatewayNode::Implementation::beginShutdown(std::function<void()> finished)
 {
-    if (m_shuttingDown) {
+    if (m_shutdown) {
         return;
     }
-    m_shuttingDown = true;
     const TimePoint now = bootTimeNow();
     m_shutdown = scheduleShutdown(now, m_settings.m_shutdownGrace - requestDrainTime,
                                   m_settings.m_shutdownGrace - shutdownMargin);
@@ -36,9 +35,9 @@
                 {{"graceMilliseconds", m_settings.m_shutdownGrace.count()},
                  {"requestsInFlight", m_pendingExchanges.size()}});
     m_callerServer.announceClose();
-    m_engine.beginShutdown(now, m_shutdown);
+    m_engine.beginShutdown(now, *m_shutdown);
     armEngineTimer();
-    m_shutdownTimer.expires_after(m_shutdown.m_acceptUntil - now);
+    m_shutdownTimer.expires_after(m_shutdown->m_acceptUntil - now);
     m_shutdownTimer.async_wait([this](error_code error) {
         if (!error) {
             stopAccepting();
@@ -51,7 +50,7 @@
     const HttpConnectionCounts before = m_callerServer.connectionCounts();
     m_callerServer.stopAccepting();
     m_log.write(LogLevel::Info, "accepting-ended", "",
-                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdown.m_begunAt).count()},
+                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdown->m_begunAt).count()},
                  {"requestsInFlight", m_callerServer.requestsInFlight()},
                  {"idleConnections", before.m_idle}});
     m_storeSync.stop();
@@ -71,7 +70,7 @@
         m_engine.advance(bootTimeNow());
         // A connection that is not closed yet may hold an answer that its caller has not read.
         const bool allClosed = m_callerServer.statistics().m_connections == 0;
-        if (allClosed || bootTimeNow() >= m_shutdown.m_exitBy) {
+        if (allClosed || bootTimeNow() >= m_shutdown->m_exitBy) {
             endShutdown();
         } else {
             waitForConnections();
@@ -84,7 +83,7 @@
     logUnansweredRequests();
     const HttpConnectionCounts counts = m_callerServer.connectionCounts();
     m_log.write(LogLevel::Info, "shutdown-ended", "",
-                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdown.m_begunAt).count()},
+                {{"sinceShutdownMicroseconds", (bootTimeNow() - m_shutdown->m_begunAt).count()},
                  {"requestsInFlight", m_callerServer.requestsInFlight()},
                  {"unanswered", m_pendingExchanges.size()},
                  {"reading", counts.m_reading},
@@ -108,7 +107,7 @@
                     {{"request", exchange.m_requestId},
                      {"ageMicroseconds", (now - exchange.m_arrived).count()},
                      {"arrivedSinceShutdownMicroseconds",
-                      (exchange.m_arrived - m_shutdown.m_begunAt).count()}});
+                      (exchange.m_arrived - m_shutdown->m_begunAt).count()}});
     }
 }
 
