--- a/libs/node/tests/nodeshelltest.cpp
+++ b/libs/node/tests/nodeshelltest.cpp
@@ -124,7 +124,7 @@
     {
         m_hold = true;
         std::unique_ptr<RawClient> client = send("POST", "/v1/query", body);
-        EXPECT_TRUE(runUntil(m_context, [&] { return !m_held.empty(); }));
+        EXPECT_TRUE(runUntil(m_context, [&] { return m_held.size() == 1; }));
         return client;
     }
 
