--- a/libs/forwarding/tests/enginefixture.cpp
+++ b/libs/forwarding/tests/enginefixture.cpp
@@ -160,6 +160,8 @@
 {
     constexpr int maximumRequests = 200;
     const std::string delayed = "retry-delayed:no-budget";
+    m_table.m_routes[1].m_idempotent = true;
+    applyTable(m_table.m_version + 1);
     for (int request = 0; request < maximumRequests; ++request) {
         submit("/orders/x");
         replyStatus(lastOrder(), 500, false);
--- a/libs/forwarding/tests/enginefixture.h
+++ b/libs/forwarding/tests/enginefixture.h
@@ -62,8 +62,8 @@
     //! @brief Ends the attempt of an order with a reply of the given status.
     void replyStatus(const ForwardCommand &order, int status, bool notExecuted);
 
-    //! @brief Submits requests to "orders" that fail at their targets, until one waits for its
-    //! retry.
+    //! @brief Makes the route to "orders" idempotent and submits requests that fail at their
+    //! targets, until one waits for its retry.
     void useUpRetryBudget();
 
     //! @brief Returns the orders sent to a service, oldest first.
--- a/libs/forwarding/tests/engineshutdowntest.cpp
+++ b/libs/forwarding/tests/engineshutdowntest.cpp
@@ -63,8 +63,6 @@
 // although no target works on it.
 TEST_F(EngineShutdown, AnswersARequestThatWaitsForARetry)
 {
-    m_table.m_routes[1].m_idempotent = true;
-    applyTable(2);
     useUpRetryBudget();
     ASSERT_EQ(m_engine.statistics().m_inFlight, 1U);
     m_output.m_answers.clear();
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -363,8 +363,6 @@
 // budget allows no retry.
 TEST_F(EngineTest, RelaysAnErrorReplyWhenTheRetryWaitsBeyondTheLatencyTarget)
 {
-    m_table.m_routes[1].m_idempotent = true;
-    applyTable(2);
     useUpRetryBudget();
     m_output.m_answers.clear();
     ASSERT_EQ(m_engine.statistics().m_inFlight, 1U);
@@ -380,8 +378,6 @@
 // another node may serve it.
 TEST_F(EngineTest, RefusesEarlyWhatNoTargetRanWhenNoRetryIsAllowed)
 {
-    m_table.m_routes[1].m_idempotent = true;
-    applyTable(2);
     useUpRetryBudget();
     m_table.m_routes[1].m_idempotent = false;
     applyTable(3);
@@ -399,8 +395,6 @@
 // no retry.
 TEST_F(EngineTest, FailsALostRequestAtTheLatencyTargetWhenNoRetryIsAllowed)
 {
-    m_table.m_routes[1].m_idempotent = true;
-    applyTable(2);
     useUpRetryBudget();
     advanceTime(500ms);
     m_output.m_answers.clear();
@@ -431,9 +425,7 @@
 // Guards against a timeout in place of the error reply that a target has given in time.
 TEST_F(EngineTest, RelaysAnErrorReplyAtTheDeadline)
 {
-    m_table.m_routes[1].m_idempotent = true;
     m_table.m_routes[1].m_latencyTarget = 5s;
-    applyTable(2);
     useUpRetryBudget();
     m_output.m_answers.clear();
     advanceTime(2s);
