--- a/libs/query/tests/harness.cpp
+++ b/libs/query/tests/harness.cpp
@@ -192,4 +192,13 @@
     return found == m_answers.end() ? nullptr : &found->second.front();
 }
 
+void expectAnswer(const Harness &harness, CallerId caller, Outcome outcome, Reason reason)
+{
+    const CallerAnswer *answer = harness.answer(caller);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(outcomeName(answer->m_outcome), outcomeName(outcome));
+    EXPECT_EQ(reasonName(answer->m_reason), reasonName(reason));
+    EXPECT_EQ(harness.m_answers.at(caller).size(), 1U);
+}
+
 } // namespace arbutusgrade
--- a/libs/query/tests/harness.h
+++ b/libs/query/tests/harness.h
@@ -70,4 +70,7 @@
 //! (Once).
 Settings makeSettings(int services, int targets, int connections = 8, int nodes = 2);
 
+//! @brief Expects that the caller has exactly one answer, with this outcome and reason.
+void expectAnswer(const Harness &harness, CallerId caller, Outcome outcome, Reason reason);
+
 } // namespace arbutusgrade
--- a/libs/query/tests/oncetest.cpp
+++ b/libs/query/tests/oncetest.cpp
@@ -24,15 +24,6 @@
     return harness.nextAttempt();
 }
 
-void expectAnswer(const Harness &harness, CallerId caller, Outcome outcome, Reason reason)
-{
-    const CallerAnswer *answer = harness.answer(caller);
-    ASSERT_NE(answer, nullptr);
-    EXPECT_EQ(outcomeName(answer->m_outcome), outcomeName(outcome));
-    EXPECT_EQ(reasonName(answer->m_reason), reasonName(reason));
-    EXPECT_EQ(harness.m_answers.at(caller).size(), 1U);
-}
-
 // Guards against a send before the claim is held, and against a result that is not recorded.
 TEST(Once, ClaimComesBeforeTheSendAndTheResultIsRecorded)
 {
--- a/libs/query/tests/shutdowntest.cpp
+++ b/libs/query/tests/shutdowntest.cpp
@@ -64,15 +64,6 @@
     ShutdownSchedule m_schedule;
 };
 
-void expectAnswer(const Harness &harness, CallerId caller, Outcome outcome, Reason reason)
-{
-    const CallerAnswer *answer = harness.answer(caller);
-    ASSERT_NE(answer, nullptr);
-    EXPECT_EQ(outcomeName(answer->m_outcome), outcomeName(outcome));
-    EXPECT_EQ(reasonName(answer->m_reason), reasonName(reason));
-    EXPECT_EQ(harness.m_answers.at(caller).size(), 1U);
-}
-
 // Guards against requests that keep a deadline beyond the end of the process and so have no answer,
 // and against an answer that drops the shards that are in.
 TEST(Shutdown, RequestsInFlightAreAnsweredBeforeTheEnd)
