Send a repeated request to the same target on a new connection

A non-idempotent request ran at two targets, or ran although it was answered 503.

Cause: a reply is matched by the request's id, and all sendings of a request bear the same one. Once all targets had refused a request, it went to the first one again on the connection of its refusal. A late second copy of that refusal was taken for the reply to the new attempt, while the target ran it.

Ruled out: retries after an unknown outcome (no reset or close before the second run).

Change: the engine keeps all targets that it has tried, and an attempt at one of them opens a new connection, on which no copy can wait. Related: after a pause of the process a copy may wait unread on a kept connection; a non-idempotent attempt uses no such connection. attempt-failed tells the time since the attempt was sent, which tells a copy from a refusal.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -357,6 +357,9 @@
     ForwardRequestPointer m_request;
     Duration m_timeLeft{0};
     bool m_idempotent = true;
+    //! The target has been sent this request before. A late second copy of its earlier reply bears
+    //! the same request id, and only comes on the connection of that reply.
+    bool m_needsNewConnection = false;
 };
 
 enum class AnswerKind {
@@ -394,6 +397,7 @@
     std::string_view m_target;
     std::uint64_t m_version = 0;             //!< Configuration version used for the request.
     Duration m_age{0};                       //!< Since the request arrived.
+    std::optional<Duration> m_sinceSent;     //!< Since the attempt was sent.
     int m_status = 0;                        //!< HTTP status of the answer or reply, or 0.
     std::size_t m_missing = 0;               //!< Shards without a reply.
     std::optional<Duration> m_timeNeeded;    //!< Of requests that arrive during a planned stop.
@@ -440,6 +444,7 @@
     std::uint64_t m_attempts = 0;
     std::uint64_t m_hedges = 0;
     std::uint64_t m_retries = 0;
+    std::uint64_t m_repeats = 0; //!< Attempts at a target that had been sent the request before.
     std::uint64_t m_budgetDenied = 0;
     std::uint64_t m_mismatches = 0; //!< Replies to a different request.
     std::uint64_t m_callerDisconnects = 0;
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -45,6 +45,13 @@
     return mayHaveRun ? pending.m_arrivedAt + pending.m_route->m_latencyTarget : pending.m_refuseAt;
 }
 
+bool hasTried(const Subrequest &subrequest, std::string_view targetId)
+{
+    return std::find(subrequest.m_triedTargetIds.begin(), subrequest.m_triedTargetIds.end(),
+                     targetId)
+           != subrequest.m_triedTargetIds.end();
+}
+
 } // namespace
 
 int ForwardEngine::Implementation::inFlightLimit(const PendingRequest &pending,
@@ -101,7 +108,8 @@
     }
     TargetCriteria criteria;
     criteria.m_dataCentre = m_options.m_dataCentre;
-    criteria.m_excludedIds = subrequest.m_triedTargetIds;
+    criteria.m_excludedIds =
+        std::span(subrequest.m_triedTargetIds).subspan(subrequest.m_repeatableTargets);
     criteria.m_inFlightLimit = inFlightLimit(pending, *subrequest.m_service);
     criteria.m_requestInterval = subrequest.m_service->m_requestInterval;
     criteria.m_healthyOnly = reason == AttemptReason::Hedge;
@@ -128,6 +136,7 @@
     attempt.m_routeLatency = pending.m_routeLatency;
     attempt.m_sentAt = now;
     attempt.m_request = pending.m_request;
+    const bool isRepeat = hasTried(subrequest, target->m_entry.m_id);
     subrequest.m_state = SubrequestState::Sent;
     subrequest.m_triedTargetIds.push_back(target->m_entry.m_id);
     subrequest.m_lastSentAt = now;
@@ -136,6 +145,7 @@
     ++subrequest.m_possibleDeliveries;
     ++subrequest.m_possibleExecutions;
     ++m_statistics.m_attempts;
+    m_statistics.m_repeats += isRepeat ? 1 : 0;
     if (reason != AttemptReason::First) {
         ++(reason == AttemptReason::Hedge ? m_statistics.m_hedges : m_statistics.m_retries);
         logDecision(now, pending, index, reason == AttemptReason::Hedge ? "hedge" : "retry",
@@ -147,7 +157,7 @@
         addTimer(now + pending.m_routeLatency->m_hedgeDelay, TimerKind::Hedge, pending.m_id, index);
     }
     m_output.send(ForwardCommand{id, target, pending.m_request, pending.m_deadline - now,
-                                 pending.m_route->m_idempotent});
+                                 pending.m_route->m_idempotent, isRepeat});
     return SendResult::Sent;
 }
 
@@ -207,9 +217,10 @@
         return;
     }
     SendResult result = sendAttempt(now, pending, index, AttemptReason::Retry);
-    if (result == SendResult::NoTarget && !subrequest.m_triedTargetIds.empty()) {
+    if (result == SendResult::NoTarget
+        && subrequest.m_repeatableTargets < subrequest.m_triedTargetIds.size()) {
         // All targets have been tried; the one that failed first may have recovered.
-        subrequest.m_triedTargetIds.erase(subrequest.m_triedTargetIds.begin());
+        ++subrequest.m_repeatableTargets;
         result = sendAttempt(now, pending, index, AttemptReason::Retry);
     }
     if (result == SendResult::Sent) {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -43,6 +43,8 @@
     ServiceState *m_service = nullptr;
     SubrequestState m_state = SubrequestState::Queued;
     std::vector<std::string> m_triedTargetIds; //!< In order of attempts.
+    std::size_t m_repeatableTargets =
+        0; //!< How many of the first tried targets may be tried again.
     TimePoint m_lastSentAt;
     int m_attemptCount = 0;
     int m_attemptsInFlight = 0;   //!< Attempts that have not ended.
@@ -185,7 +187,7 @@
     void sendAnswer(TimePoint now, PendingRequest &pending, ForwardAnswer answer);
     void logDecision(TimePoint now, const PendingRequest &pending, std::size_t subrequestIndex,
                      std::string_view event, std::string_view reason, std::string_view target,
-                     int status) const;
+                     int status, std::optional<Duration> sinceSent = std::nullopt) const;
 
     PendingRequest *findPendingRequest(std::uint64_t id);
 
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -136,7 +136,7 @@
             subrequestSucceeded(now, *pending, attempt.m_subrequestIndex, std::move(reply));
         } else {
             logDecision(now, *pending, attempt.m_subrequestIndex, "attempt-failed", result.m_reason,
-                        attempt.m_target->m_entry.m_id, reply.m_status);
+                        attempt.m_target->m_entry.m_id, reply.m_status, now - attempt.m_sentAt);
             subrequest.m_failureReason = result.m_reason;
             const bool mayHaveRun = result.m_outcome == AttemptOutcome::Failed;
             subrequest.m_possibleExecutions -= mayHaveRun ? 0 : 1;
@@ -359,7 +359,7 @@
 void ForwardEngine::Implementation::logDecision(TimePoint now, const PendingRequest &pending,
                                                 std::size_t subrequestIndex, std::string_view event,
                                                 std::string_view reason, std::string_view target,
-                                                int status) const
+                                                int status, std::optional<Duration> sinceSent) const
 {
     ForwardDecision decision;
     decision.m_event = event;
@@ -370,6 +370,7 @@
     decision.m_target = target;
     decision.m_version = pending.m_routingTable->m_version;
     decision.m_age = now - pending.m_arrivedAt;
+    decision.m_sinceSent = sinceSent;
     decision.m_status = status;
     decision.m_missing = pending.m_subrequests.size() - pending.m_succeededCount;
     m_output.record(decision);
--- a/libs/forwarding/tests/enginetest.cpp
+++ b/libs/forwarding/tests/enginetest.cpp
@@ -98,6 +98,42 @@
     EXPECT_EQ(m_output.m_answers[0].m_kind, AnswerKind::Relayed);
 }
 
+// Guards against a late second copy of a refusal that is taken for the reply to the next attempt at
+// the same target, so that the request runs twice, or runs although it was refused.
+TEST_F(EngineTest, RepeatsARequestToTheSameTargetOnANewConnection)
+{
+    submit("/orders/x");
+    for (std::size_t sent = 1; sent <= 3; ++sent) {
+        ASSERT_EQ(m_output.m_orders.size(), sent);
+        EXPECT_FALSE(lastOrder().m_needsNewConnection) << "attempt " << sent;
+        replyStatus(lastOrder(), 503, true);
+    }
+    for (std::size_t sent = 4; sent <= 8; ++sent) {
+        ASSERT_EQ(m_output.m_orders.size(), sent);
+        EXPECT_TRUE(lastOrder().m_needsNewConnection) << "attempt " << sent;
+        replyStatus(lastOrder(), 503, true);
+    }
+    EXPECT_EQ(m_engine.statistics().m_repeats, 5U);
+    submit("/orders/y");
+    EXPECT_FALSE(lastOrder().m_needsNewConnection);
+}
+
+// Guards against the same for the parts of a search, and for attempts beside one that is in flight.
+TEST_F(EngineTest, RepeatsAShardsPartOnANewConnection)
+{
+    m_table.m_routes[0].m_attemptLimit = 8;
+    applyTable(2);
+    submit("/search/x");
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        EXPECT_FALSE(ordersFor("shard-1").back().m_needsNewConnection);
+        replyStatus(ordersFor("shard-1").back(), 500, false);
+    }
+    EXPECT_TRUE(ordersFor("shard-1").back().m_needsNewConnection);
+    for (const ForwardCommand &order : ordersFor("shard-2")) {
+        EXPECT_FALSE(order.m_needsNewConnection);
+    }
+}
+
 // Guards against telling a caller that its request was not run when the target did not confirm it.
 TEST_F(EngineTest, TreatsAnUnconfirmedRejectionAsAFailure)
 {
--- a/libs/gatewaynode/src/decisionlog.cpp
+++ b/libs/gatewaynode/src/decisionlog.cpp
@@ -33,6 +33,9 @@
     }
     fields["version"] = decision.m_version;
     fields["ageMicroseconds"] = decision.m_age.count();
+    if (decision.m_sinceSent) {
+        fields["sinceSentMicroseconds"] = decision.m_sinceSent->count();
+    }
     if (decision.m_status != 0) {
         fields["status"] = decision.m_status;
     }
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -198,6 +198,7 @@
     attempt.m_text = m_attemptBuffer;
     attempt.m_idempotent = order.m_idempotent;
     attempt.m_expectNoBody = order.m_request->m_method == "HEAD";
+    attempt.m_needsNewConnection = order.m_needsNewConnection;
     m_client.send(attempt, [this, id = order.m_attempt](ForwardEnd end, const ReplyContent &reply) {
         attemptEnded(id, end, reply);
     });
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -29,6 +29,8 @@
     counter("arbutusgrade_attempts_total", "Requests sent to targets", engine.m_attempts);
     counter("arbutusgrade_hedges_total", "Second attempts as the first was late", engine.m_hedges);
     counter("arbutusgrade_retries_total", "Attempts after a failed one", engine.m_retries);
+    counter("arbutusgrade_repeats_total", "Attempts at a target that had the request before",
+            engine.m_repeats);
     counter("arbutusgrade_budget_denied_total", "Extra attempts beyond the budget",
             engine.m_budgetDenied);
     counter("arbutusgrade_foreign_replies_total", "Replies that belong to another request",
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -265,9 +265,10 @@
     std::uint64_t m_attempt = 0; //!< Unique; never reused.
     std::string m_target;
     asio::ip::tcp::endpoint m_endpoint;
-    std::string_view m_text; //!< Head and body; not used after the call.
-    bool m_idempotent = true;
+    std::string_view m_text;  //!< Head and body; not used after the call.
+    bool m_idempotent = true; //!< False: uses no kept connection on which bytes wait.
     bool m_expectNoBody = false;
+    bool m_needsNewConnection = false; //!< Uses no kept connection.
 };
 
 //! @brief Connections to targets for requests that are passed through; one exchange at a time on
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -92,9 +92,13 @@
                     return nullptr;
                 }
                 links.pop_back();
-                return link;
+                // After a pause of this process, what has arrived meanwhile is still unread.
+                if (attempt.m_idempotent || link->m_connection->isOpen()) {
+                    return link;
+                }
+            } else {
+                links.pop_back();
             }
-            links.pop_back();
             close(link);
         }
         return nullptr;
@@ -102,7 +106,8 @@
 
     void send(const ForwardAttempt &attempt, ForwardHandler handler)
     {
-        const LinkPointer idle = takeIdle(attempt, steadyNow());
+        const LinkPointer idle =
+            attempt.m_needsNewConnection ? nullptr : takeIdle(attempt, steadyNow());
         if (idle) {
             m_flights[attempt.m_attempt] = Flight{idle, std::move(handler)};
             exchange(attempt.m_attempt, attempt.m_text, attempt.m_expectNoBody);
--- a/libs/transport/tests/forwardclienttest.cpp
+++ b/libs/transport/tests/forwardclienttest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "loopback.h"
 #include "transport/transport.h"
 
 namespace arbutusgrade {
@@ -30,16 +31,21 @@
         m_context.run_for(time);
     }
 
-    void send(std::uint64_t attempt, std::vector<ForwardEnd> &ends)
+    static ForwardAttempt attemptTo(const asio::ip::tcp::endpoint &endpoint, std::uint64_t attempt)
     {
         ForwardAttempt order;
         order.m_attempt = attempt;
         order.m_target = "t";
-        order.m_endpoint = m_endpoint;
+        order.m_endpoint = endpoint;
         order.m_text = "GET / HTTP/1.1\r\nHost: t\r\n\r\n";
-        m_client.send(order, [&ends](ForwardEnd end, const ReplyContent & /*reply*/) {
-            ends.push_back(end);
-        });
+        return order;
+    }
+
+    void send(std::uint64_t attempt, std::vector<ForwardEnd> &ends)
+    {
+        m_client.send(
+            attemptTo(m_endpoint, attempt),
+            [&ends](ForwardEnd end, const ReplyContent & /*reply*/) { ends.push_back(end); });
     }
 
     asio::io_context m_context;
@@ -99,4 +105,46 @@
     EXPECT_EQ(m_client.statistics().m_connections, 0U);
 }
 
+// Guards against a repeated request that is answered by a copy of an earlier reply, which waits on
+// the connection of that reply.
+TEST_F(ForwardClientTest, UsesNoKeptConnectionWhereANewOneIsNeeded)
+{
+    std::vector<ForwardEnd> ends;
+    send(1, ends);
+    run(50ms);
+    ForwardAttempt repeat = attemptTo(m_endpoint, 2);
+    repeat.m_needsNewConnection = true;
+    m_client.send(repeat,
+                  [&ends](ForwardEnd end, const ReplyContent & /*reply*/) { ends.push_back(end); });
+    run(50ms);
+    EXPECT_EQ(ends, (std::vector<ForwardEnd>{ForwardEnd::Reply, ForwardEnd::Reply}));
+    EXPECT_EQ(m_client.statistics().m_opened, 2U);
+    EXPECT_EQ(m_client.statistics().m_connections, 2U);
+}
+
+// Guards against a non-idempotent request on a connection that holds an unread copy of an earlier
+// reply, as after a pause of this process: the copy would end it with an unknown outcome.
+TEST_F(ForwardClientTest, SendsNothingThatMustNotRunTwiceBehindUnreadBytes)
+{
+    RawServer server(m_context, [](RawServer::Peer &peer, const std::string & /*text*/) {
+        peer.reply(200, "reply");
+    });
+    const asio::ip::tcp::endpoint endpoint{asio::ip::address_v4::loopback(), server.port()};
+    std::vector<std::string> bodies;
+    const ForwardHandler handler = [&bodies](ForwardEnd /*end*/, const ReplyContent &reply) {
+        bodies.push_back(reply.m_body);
+    };
+    ForwardAttempt attempt = attemptTo(endpoint, 1);
+    attempt.m_idempotent = false;
+    m_client.send(attempt, handler);
+    run(50ms);
+    ASSERT_EQ(server.m_peers.size(), 1U);
+    server.m_peers[0]->reply(200, "copy");
+    attempt.m_attempt = 2;
+    m_client.send(attempt, handler);
+    run(50ms);
+    EXPECT_EQ(bodies, (std::vector<std::string>{"reply", "reply"}));
+    EXPECT_EQ(m_client.statistics().m_opened, 2U);
+}
+
 } // namespace arbutusgrade
