Count a crash once for each request, and clear a request that a target answers

After crashes of single targets all gateways refused a path that several callers ask for, for 5 minutes.

Cause: each request that a crashed target had in work counted as a crash of its own, each node counted again, and nothing took a count back but time, though other targets went on answering the path.

Ruled out as a way: the caller in the fingerprint, which nothing on the wire names.

Change: crashes are kept by request and process of a target, so that all nodes count one crash once; a process that was reached since counts again. A successful answer clears the request here and at the other nodes, and covers the losses of the 2.5 s after it, as targets may crash together. A crash is shared after 0.3 s, when most requests beside it have been cleared. The log has crash-cleared, and the fingerprint of a request refused as quarantined.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
@@ -105,8 +106,7 @@
 //! @brief A request whose connection ended before a reply; it may have crashed the target.
 struct LostRequest
 {
-    std::uint64_t m_requestNumber = 0; //!< Number of the request in the engine; 0 if it has ended.
-    std::optional<std::uint64_t> m_fingerprint; //!< Empty if another target answered the request.
+    std::uint64_t m_fingerprint = 0;
     TimePoint m_lostAt;
 };
 
@@ -128,6 +128,7 @@
     TimePoint m_statisticsUpdatedAt;
     TimePoint m_backoffUntil;
     int m_consecutiveConnectFailures = 0; //!< Reset by a successful connection.
+    TimePoint m_reachableAt;              //!< Of the last successful connection or reply.
     bool m_down = false; //!< Refuses connections; used again after a successful probe.
     bool m_probeInFlight = false;
     std::vector<LostRequest> m_lostRequests; //!< Since the target was last reachable.
@@ -294,31 +295,80 @@
 
 // Quarantine of crashing requests ----------------------------------------------------------------
 
-//! @brief Counts target crashes by request, to quarantine requests that crash targets.
+//! @brief Number of a target's process. A target that starts again has another one; all nodes
+//! compute the same.
+std::uint64_t processNumber(const TargetEntry &target);
+
+//! @brief Target processes that ended while they ran a request, to quarantine requests that crash
+//! targets.
+//!
+//! A process counts once for each request, however many of its attempts were lost and however many
+//! nodes saw it. A request that a target answers is cleared: one that crashes targets is never
+//! answered.
 struct CrashTable
 {
     static constexpr int crashLimit = 3;
     static constexpr Duration retention = std::chrono::minutes(5);
 
+    //! An answer clears a request of the crashes that follow within this time, as well as of all
+    //! earlier ones.
+    static constexpr Duration answerValidity = std::chrono::milliseconds(2500);
+
+    //! A crash may be noticed this long after the request was lost.
+    static constexpr Duration attributionWindow = std::chrono::milliseconds(2500);
+    static constexpr std::size_t maximumAnswers = 8192; //!< Remembered at a time.
+
+    struct Crash
+    {
+        int m_count = 0;       //!< More than 1 if the process started again unnoticed.
+        int m_sharedCount = 0; //!< What the other nodes have been told, or have told.
+        TimePoint m_recordedAt;
+    };
+
     struct Entry
     {
-        int m_localCrashes = 0;                               //!< Observed by this node.
-        std::unordered_map<std::string, int> m_remoteCrashes; //!< By node name.
+        std::unordered_map<std::uint64_t, Crash> m_crashes; //!< By process number.
         TimePoint m_expiresAt;
     };
     std::unordered_map<std::uint64_t, Entry> m_entries; //!< By request fingerprint.
+
+    struct Answer
+    {
+        std::uint64_t m_fingerprint = 0;
+        TimePoint m_answeredAt;
+    };
+    std::deque<Answer> m_answers;                               //!< Oldest first.
+    std::unordered_map<std::uint64_t, TimePoint> m_lastAnswers; //!< By request fingerprint.
 };
 
-//! @brief Counts a crash observed by this node.
-//! @return the number of crashes observed by this node.
-int recordCrash(CrashTable &table, TimePoint now, std::uint64_t fingerprint);
+//! @brief Records that a target's process ended while it ran the request.
+//! @param reachableAt when this node last reached the process.
+//! @return false if this crash is recorded already, or a target has answered the request lately.
+bool recordCrash(CrashTable &table, TimePoint now, const LostRequest &lost, std::uint64_t process,
+                 TimePoint reachableAt);
 
-//! @brief Updates the crash count of another node. Lower counts are ignored.
+//! @brief Takes over what another node has recorded. A count of 0 clears the process.
 void mergeCrashCount(CrashTable &table, TimePoint now, std::uint64_t fingerprint,
-                     std::string_view node, int crashes);
+                     std::uint64_t process, int crashes);
 
 bool isQuarantined(const CrashTable &table, TimePoint now, std::uint64_t fingerprint);
 
+//! @brief What the other nodes are told of a request and a target's process.
+struct CrashReport
+{
+    std::uint64_t m_fingerprint = 0;
+    std::uint64_t m_process = 0;
+    int m_crashes = 0; //!< 0: the request is cleared.
+};
+
+//! @brief Records that a target has answered the request, which clears it.
+//! @return reports that tell this to the nodes that know of crashes.
+std::vector<CrashReport> recordAnswer(CrashTable &table, TimePoint now, std::uint64_t fingerprint);
+
+//! @brief Returns the crashes that were recorded by the given time and have not been shared, which
+//! counts as done from now on.
+std::vector<CrashReport> takeUnsharedCrashes(CrashTable &table, TimePoint recordedBy);
+
 // Engine -----------------------------------------------------------------------------------------
 
 //! @brief A validated caller request, ready to be forwarded.
@@ -395,13 +445,14 @@
     std::string_view m_route;
     std::string_view m_service;
     std::string_view m_target;
-    std::uint64_t m_version = 0;             //!< Configuration version used for the request.
-    Duration m_age{0};                       //!< Since the request arrived.
-    std::optional<Duration> m_sinceSent;     //!< Since the attempt was sent.
-    int m_status = 0;                        //!< HTTP status of the answer or reply, or 0.
-    std::size_t m_missing = 0;               //!< Shards without a reply.
-    std::optional<Duration> m_timeNeeded;    //!< Of requests that arrive during a planned stop.
-    std::optional<Duration> m_timeUntilStop; //!< From then until the last answers.
+    std::uint64_t m_version = 0;                //!< Configuration version used for the request.
+    Duration m_age{0};                          //!< Since the request arrived.
+    std::optional<Duration> m_sinceSent;        //!< Since the attempt was sent.
+    int m_status = 0;                           //!< HTTP status of the answer or reply, or 0.
+    std::size_t m_missing = 0;                  //!< Shards without a reply.
+    std::optional<std::uint64_t> m_fingerprint; //!< Of requests in quarantine.
+    std::optional<Duration> m_timeNeeded;       //!< Of requests that arrive during a planned stop.
+    std::optional<Duration> m_timeUntilStop;    //!< From then until the last answers.
     bool m_mayBeSampled = false; //!< Nothing went wrong; one of many such lines is enough.
 };
 
@@ -423,8 +474,8 @@
     virtual void probe(const TargetPointer &target) = 0;
     virtual void answer(const ForwardAnswer &answer) = 0;
     virtual void record(const ForwardDecision &decision) = 0;
-    //! @brief Publishes this node's crash count of a request to the other nodes.
-    virtual void publishCrashCount(std::uint64_t fingerprint, int crashes) = 0;
+    //! @brief Publishes to the other nodes, and for later processes of this node.
+    virtual void publishCrash(const CrashReport &report) = 0;
 };
 
 //! @brief Settings of the engine.
@@ -449,6 +500,8 @@
     std::uint64_t m_mismatches = 0; //!< Replies to a different request.
     std::uint64_t m_callerDisconnects = 0;
     std::uint64_t m_probes = 0;
+    std::uint64_t m_crashes = 0;        //!< Attributed to requests, by this node.
+    std::uint64_t m_clearedCrashes = 0; //!< Of those, and of other nodes, by an answer.
     std::uint64_t m_acceptedInShutdown = 0;
     std::uint64_t m_refusedInShutdown = 0;
     std::size_t m_inFlight = 0; //!< Requests currently without an answer.
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -282,14 +282,11 @@
 void ForwardEngine::Implementation::detachAttempts(TimePoint now, std::uint64_t pendingId,
                                                    std::optional<std::size_t> subrequestIndex)
 {
-    const PendingRequest *pending = findPendingRequest(pendingId);
-    const bool succeeded = pending != nullptr && pending->m_succeededCount > 0;
     for (std::pair<const std::uint64_t, Attempt> &entry : m_attempts) {
         Attempt &attempt = entry.second;
         if (attempt.m_pendingId == pendingId
             && (!subrequestIndex || attempt.m_subrequestIndex == *subrequestIndex)) {
             attempt.m_pendingId = 0;
-            attempt.m_requestSucceeded = succeeded;
             addTimer(now + detachedAttemptTimeout, TimerKind::DetachedTimeout, entry.first);
         }
     }
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -73,14 +73,12 @@
     std::size_t m_succeededCount = 0;
     std::size_t m_failedCount = 0;
     bool m_stragglerCheckDone = false; //!< Hedges for straggling shards are scheduled.
-    bool m_isSuspect = false; //!< Lost attempts count as possible crashes until a target answers.
 };
 
 //! @brief An attempt that has been sent and has not ended.
 struct Attempt
 {
-    std::uint64_t m_pendingId = 0;   //!< 0 once detached from its request.
-    bool m_requestSucceeded = false; //!< A target had answered the request before the detachment.
+    std::uint64_t m_pendingId = 0; //!< 0 once detached from its request.
     std::size_t m_subrequestIndex = 0;
     TargetPointer m_target;
     ServiceState *m_service = nullptr;
@@ -96,7 +94,8 @@
     PartialAnswer,
     Deadline,
     DetachedTimeout,
-    Probe
+    Probe,
+    ShareCrashes
 };
 
 struct Timer
@@ -146,12 +145,16 @@
     bool canServe(TimePoint now, const Route &route, const ServiceState *singleService) const;
     bool isServiceReachable(TimePoint now, const std::string &service) const;
     void probeDownTargets(TimePoint now);
-    void recordLostRequest(TimePoint now, const Attempt &attempt);
-    void clearSuspicion(PendingRequest &pending);
     void recordConnectFailure(TimePoint now, Target &target);
     void recordRemoteContact(TimePoint now, const Target &target, bool connected);
     bool isIsolated(TimePoint now) const;
 
+    // Crashes of targets (crashattribution.cpp)
+    void recordLostRequest(TimePoint now, const Attempt &attempt);
+    void recordCrashes(TimePoint now, Target &target);
+    void clearRequest(TimePoint now, const PendingRequest &pending);
+    void shareCrashes(TimePoint now);
+
     // Latency statistics (timing.cpp)
     RouteLatency &routeLatency(const Route &route);
 
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -150,6 +150,9 @@
     decision.m_requestId = request.m_requestId;
     decision.m_version = m_routingTable ? m_routingTable->m_version : 0;
     decision.m_status = status;
+    if (kind == AnswerKind::Quarantined) {
+        decision.m_fingerprint = request.m_fingerprint;
+    }
     m_output.record(decision);
     m_output.answer(answer);
 }
@@ -330,6 +333,10 @@
         probeDownTargets(now);
         return;
     }
+    if (timer.m_kind == TimerKind::ShareCrashes) {
+        shareCrashes(now);
+        return;
+    }
     PendingRequest *pending = findPendingRequest(timer.m_id);
     if (pending == nullptr) {
         return;
@@ -356,6 +363,7 @@
         break;
     case TimerKind::DetachedTimeout:
     case TimerKind::Probe:
+    case TimerKind::ShareCrashes:
         break;
     }
 }
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -162,7 +162,7 @@
     subrequest.m_state = SubrequestState::Succeeded;
     subrequest.m_reply = std::move(reply);
     ++pending.m_succeededCount;
-    clearSuspicion(pending);
+    clearRequest(now, pending);
     if (subrequest.m_attemptsInFlight > 0) {
         detachAttempts(now, pending.m_id, index);
         subrequest.m_attemptsInFlight = 0;
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -14,14 +14,6 @@
 constexpr int isolationFailureThreshold = 4;
 constexpr Duration isolationSilence = 400ms;
 
-// Delay before probing a target after a lost request: by then a crashed target refuses connections,
-// while a target that only lost its reply accepts them.
-constexpr Duration crashProbeDelay = 60ms;
-
-// A lost request counts as the cause of a crash if a connection to the target fails within this
-// time.
-constexpr Duration crashAttributionWindow = 2500ms;
-
 } // namespace
 
 bool ForwardEngine::Implementation::isServiceReachable(TimePoint now,
@@ -58,50 +50,9 @@
     }
 }
 
-void ForwardEngine::Implementation::recordLostRequest(TimePoint now, const Attempt &attempt)
-{
-    PendingRequest *pending = findPendingRequest(attempt.m_pendingId);
-    const bool succeeded =
-        pending != nullptr ? pending->m_succeededCount > 0 : attempt.m_requestSucceeded;
-    LostRequest lost;
-    lost.m_requestNumber = attempt.m_pendingId;
-    lost.m_lostAt = now;
-    if (!succeeded) {
-        lost.m_fingerprint = attempt.m_request->m_fingerprint;
-        if (pending != nullptr) {
-            pending->m_isSuspect = true;
-        }
-    }
-    Target &target = *attempt.m_target;
-    target.m_lostRequests.push_back(lost);
-    target.m_nextProbeAt = now + crashProbeDelay;
-    addTimer(target.m_nextProbeAt, TimerKind::Probe, 0);
-}
-
-void ForwardEngine::Implementation::clearSuspicion(PendingRequest &pending)
-{
-    if (!pending.m_isSuspect) {
-        return;
-    }
-    pending.m_isSuspect = false;
-    for (const std::pair<const std::string, TargetPointer> &entry : m_registry.m_targets) {
-        for (LostRequest &lost : entry.second->m_lostRequests) {
-            if (lost.m_requestNumber == pending.m_id) {
-                lost.m_fingerprint.reset();
-            }
-        }
-    }
-}
-
 void ForwardEngine::Implementation::recordConnectFailure(TimePoint now, Target &target)
 {
-    for (const LostRequest &lost : target.m_lostRequests) {
-        if (lost.m_fingerprint && now - lost.m_lostAt < crashAttributionWindow) {
-            m_output.publishCrashCount(*lost.m_fingerprint,
-                                       recordCrash(m_crashes, now, *lost.m_fingerprint));
-        }
-    }
-    target.m_lostRequests.clear();
+    recordCrashes(now, target);
     recordFailure(target, now, TargetFailure::ConnectFailed);
     addTimer(target.m_nextProbeAt, TimerKind::Probe, 0);
     failUnreachableQueue(now, serviceState(target.m_entry.m_service));
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -182,6 +182,7 @@
 void recordReachable(Target &target, TimePoint now)
 {
     target.m_down = false;
+    target.m_reachableAt = now;
     target.m_lostRequests.clear();
     target.m_consecutiveConnectFailures = 0;
     target.m_backoffUntil = std::min(target.m_backoffUntil, now);
--- a/libs/gatewaynode/src/decisionlog.cpp
+++ b/libs/gatewaynode/src/decisionlog.cpp
@@ -42,6 +42,9 @@
     if (decision.m_missing > 0) {
         fields["missing"] = decision.m_missing;
     }
+    if (decision.m_fingerprint) {
+        fields["fingerprint"] = *decision.m_fingerprint;
+    }
     if (decision.m_timeNeeded) {
         fields["timeNeededMicroseconds"] = decision.m_timeNeeded->count();
     }
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -27,7 +27,7 @@
     void probe(const TargetPointer &target) override;
     void answer(const ForwardAnswer &answer) override;
     void record(const ForwardDecision &decision) override;
-    void publishCrashCount(std::uint64_t fingerprint, int crashes) override;
+    void publishCrash(const CrashReport &report) override;
 
     std::string start();
     std::string listen(HttpServer &server, const std::string &address, std::uint16_t port);
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -16,17 +16,18 @@
 class StoreSync
 {
 public:
+    //! @param crashPrefix prefix of the keys of crash reports.
     StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
-              MetadataStore &store, const PrefixWatcherOptions &options, std::string node,
+              MetadataStore &store, const PrefixWatcherOptions &options, std::string crashPrefix,
               ForwardEngine &engine, Membership &membership, Log &log);
 
     //! @param changeHandler called after each snapshot or batch of changes has been applied.
     void start(std::function<void()> changeHandler);
     void stop();
 
-    //! @brief Publishes to the other nodes how many target crashes this node attributes to a
-    //! request.
-    void publishCrashCount(std::uint64_t fingerprint, int crashes);
+    //! @brief Publishes to the other nodes how many crashes of a target's process this node
+    //! attributes to a request.
+    void publishCrash(const CrashReport &report);
 
     //! @brief Reads the whole store again, for use when changes may have been missed.
     void restart();
@@ -51,7 +52,6 @@
     const DeploymentFormat &m_format;
     MetadataStore &m_store;
     std::string m_crashPrefix;
-    std::string m_node;
     ForwardEngine &m_engine;
     Membership &m_membership;
     Log &m_log;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -63,6 +63,11 @@
     return {boost::asio::ip::make_address(entry.m_address, ignored), entry.m_port};
 }
 
+std::string crashPrefix(const DeploymentFormat &format)
+{
+    return format.m_writablePrefix + "crashes/";
+}
+
 HttpResponse errorResponse(int status, std::string_view message)
 {
     HttpResponse response;
@@ -94,7 +99,7 @@
       m_metricsServer(context, HttpServerOptions{}),
       m_membership(std::make_shared<Membership>(context, store, format.m_writablePrefix + "nodes/",
                                                 settings.m_node, settings.m_minimumLease)),
-      m_storeSync(context, m_format, store, watcherOptions(settings), settings.m_node, m_engine,
+      m_storeSync(context, m_format, store, watcherOptions(settings), crashPrefix(format), m_engine,
                   *m_membership, log),
       m_decisionLog(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
       m_callerRoundTrip("arbutusgrade_caller_round_trip_seconds",
@@ -251,11 +256,17 @@
     m_decisionLog.record(bootTimeNow(), decision);
 }
 
-void GatewayNode::Implementation::publishCrashCount(std::uint64_t fingerprint, int crashes)
+void GatewayNode::Implementation::publishCrash(const CrashReport &report)
 {
-    m_log.write(LogLevel::Warning, "target-crashed", "the request may have crashed the target",
-                {{"fingerprint", fingerprint}, {"crashes", crashes}});
-    m_storeSync.publishCrashCount(fingerprint, crashes);
+    const bool isCleared = report.m_crashes == 0;
+    m_log.write(isCleared ? LogLevel::Info : LogLevel::Warning,
+                isCleared ? "crash-cleared" : "target-crashed",
+                isCleared ? "a target has answered the request, so it does not crash targets"
+                          : "the request may have crashed the target",
+                {{"fingerprint", report.m_fingerprint},
+                 {"process", report.m_process},
+                 {"crashes", report.m_crashes}});
+    m_storeSync.publishCrash(report);
 }
 
 void GatewayNode::Implementation::storeStateChanged()
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -39,6 +39,10 @@
             engine.m_callerDisconnects);
     counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
             engine.m_probes);
+    counter("arbutusgrade_crashes_total", "Crashes of targets attributed to requests",
+            engine.m_crashes);
+    counter("arbutusgrade_crashes_cleared_total", "Shared crashes cleared by an answer",
+            engine.m_clearedCrashes);
     addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
                static_cast<double>(engine.m_acceptedInShutdown), {{"decision", "accepted"}});
     addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace arbutusgrade {
 
@@ -11,13 +12,26 @@
 // are recorded, unreadable entries are no longer logged.
 constexpr std::size_t maximumUnreadableEntries = 1000;
 
+//! @brief Returns the number that the whole text stands for, or nothing.
+template <typename Number> std::optional<Number> parseWhole(std::string_view text)
+{
+    Number number = 0;
+    const char *const end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return number;
+}
+
 } // namespace
 
 StoreSync::StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
-                     MetadataStore &store, const PrefixWatcherOptions &options, std::string node,
-                     ForwardEngine &engine, Membership &membership, Log &log)
-    : m_format(format), m_store(store), m_crashPrefix(format.m_writablePrefix + "crashes/"),
-      m_node(std::move(node)), m_engine(engine), m_membership(membership), m_log(log)
+                     MetadataStore &store, const PrefixWatcherOptions &options,
+                     std::string crashPrefix, ForwardEngine &engine, Membership &membership,
+                     Log &log)
+    : m_format(format), m_store(store), m_crashPrefix(std::move(crashPrefix)), m_engine(engine),
+      m_membership(membership), m_log(log)
 {
     PrefixWatcher::Handlers handlers;
     handlers.m_availability = [this](bool available) { handleAvailability(available); };
@@ -102,10 +116,11 @@
                 {{"version", version}, {"revision", item.m_revision}});
 }
 
-void StoreSync::publishCrashCount(std::uint64_t fingerprint, int crashes)
+void StoreSync::publishCrash(const CrashReport &report)
 {
-    const std::string key = m_crashPrefix + std::to_string(fingerprint) + "/" + m_node;
-    m_store.write(key, std::to_string(crashes), m_membership.leaseId(),
+    const std::string key = m_crashPrefix + std::to_string(report.m_fingerprint) + "/"
+                            + std::to_string(report.m_process);
+    m_store.write(key, std::to_string(report.m_crashes), m_membership.leaseId(),
                   [&log = m_log, key](MetadataStatus status) {
                       if (status != MetadataStatus::Ok) {
                           log.write(
@@ -124,15 +139,13 @@
     }
     const std::string_view suffix = key.substr(m_crashPrefix.size());
     const std::size_t slash = std::min(suffix.find('/'), suffix.size());
-    std::uint64_t fingerprint = 0;
-    int crashes = 0;
-    const std::from_chars_result parsedFingerprint =
-        std::from_chars(suffix.data(), suffix.data() + slash, fingerprint);
-    const std::from_chars_result parsedCrashes =
-        std::from_chars(item.m_value.data(), item.m_value.data() + item.m_value.size(), crashes);
-    const std::string_view node = suffix.substr(std::min(slash + 1, suffix.size()));
-    if (parsedFingerprint.ec == std::errc() && parsedCrashes.ec == std::errc() && node != m_node) {
-        mergeCrashCount(m_engine.crashes(), bootTimeNow(), fingerprint, node, crashes);
+    const std::optional<std::uint64_t> fingerprint =
+        parseWhole<std::uint64_t>(suffix.substr(0, slash));
+    const std::optional<std::uint64_t> process =
+        parseWhole<std::uint64_t>(suffix.substr(std::min(slash + 1, suffix.size())));
+    const std::optional<int> crashes = parseWhole<int>(item.m_value);
+    if (fingerprint && process && crashes) {
+        mergeCrashCount(m_engine.crashes(), bootTimeNow(), *fingerprint, *process, *crashes);
     }
 }
 
