Keep crash reports beyond the process that wrote them

After rolling restarts a request that had crashed three targets crashed more, and what others had in work there was lost.

Cause: a restarted gateway left out the counts under its own name, the counts ended with the lease of the process that wrote them, and one that could not be written was lost.

With the store down at the time of the crash a restarted gateway let the request through (the new test).

CrashPublisher writes them under a lease of their own that lasts as long as a crash counts, and tries again each second until the store has taken them. Membership no longer shows its lease.

--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -30,12 +30,6 @@
     void applySnapshot(const std::vector<MetadataItem> &items);
     void applyChanges(const std::vector<MetadataEvent> &events);
 
-    //! @brief Lease of the registration, or empty if there is currently none.
-    const std::string &leaseId() const
-    {
-        return m_leaseId;
-    }
-
     //! @brief Number of nodes that share the limits, including recently expired ones.
     int nodeCount(TimePoint now);
 
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "details/crashpublisher.h"
 #include "details/decisionlog.h"
 #include "details/membership.h"
 #include "details/storesync.h"
@@ -60,6 +61,7 @@
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
     std::shared_ptr<Membership> m_membership;
+    std::shared_ptr<CrashPublisher> m_crashPublisher;
     StoreSync m_storeSync;
     DecisionLog m_decisionLog;
     LatencyMetric m_latency;
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -16,7 +16,7 @@
 class StoreSync
 {
 public:
-    //! @param crashPrefix prefix of the keys of crash reports.
+    //! @param crashPrefix prefix of the keys that CrashPublisher writes.
     StoreSync(boost::asio::io_context &context, const DeploymentFormat &format,
               MetadataStore &store, const PrefixWatcherOptions &options, std::string crashPrefix,
               ForwardEngine &engine, Membership &membership, Log &log);
@@ -25,10 +25,6 @@
     void start(std::function<void()> changeHandler);
     void stop();
 
-    //! @brief Publishes to the other nodes how many crashes of a target's process this node
-    //! attributes to a request.
-    void publishCrash(const CrashReport &report);
-
     //! @brief Reads the whole store again, for use when changes may have been missed.
     void restart();
 
@@ -50,7 +46,6 @@
                      const std::vector<Finding> &findings);
 
     const DeploymentFormat &m_format;
-    MetadataStore &m_store;
     std::string m_crashPrefix;
     ForwardEngine &m_engine;
     Membership &m_membership;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -99,6 +99,8 @@
       m_metricsServer(context, HttpServerOptions{}),
       m_membership(std::make_shared<Membership>(context, store, format.m_writablePrefix + "nodes/",
                                                 settings.m_node, settings.m_minimumLease)),
+      m_crashPublisher(std::make_shared<CrashPublisher>(context, store, crashPrefix(format),
+                                                        settings.m_minimumLease, log)),
       m_storeSync(context, m_format, store, watcherOptions(settings), crashPrefix(format), m_engine,
                   *m_membership, log),
       m_decisionLog(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
@@ -266,7 +268,7 @@
                 {{"fingerprint", report.m_fingerprint},
                  {"process", report.m_process},
                  {"crashes", report.m_crashes}});
-    m_storeSync.publishCrash(report);
+    m_crashPublisher->publish(report);
 }
 
 void GatewayNode::Implementation::storeStateChanged()
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -30,7 +30,7 @@
                      MetadataStore &store, const PrefixWatcherOptions &options,
                      std::string crashPrefix, ForwardEngine &engine, Membership &membership,
                      Log &log)
-    : m_format(format), m_store(store), m_crashPrefix(std::move(crashPrefix)), m_engine(engine),
+    : m_format(format), m_crashPrefix(std::move(crashPrefix)), m_engine(engine),
       m_membership(membership), m_log(log)
 {
     PrefixWatcher::Handlers handlers;
@@ -116,21 +116,6 @@
                 {{"version", version}, {"revision", item.m_revision}});
 }
 
-void StoreSync::publishCrash(const CrashReport &report)
-{
-    const std::string key = m_crashPrefix + std::to_string(report.m_fingerprint) + "/"
-                            + std::to_string(report.m_process);
-    m_store.write(key, std::to_string(report.m_crashes), m_membership.leaseId(),
-                  [&log = m_log, key](MetadataStatus status) {
-                      if (status != MetadataStatus::Ok) {
-                          log.write(
-                              LogLevel::Warning, "crash-not-shared",
-                              "cannot write the crash count; other nodes do not know of the crash",
-                              {{"key", key}});
-                      }
-                  });
-}
-
 void StoreSync::applyCrashCount(const MetadataItem &item)
 {
     const std::string_view key = item.m_key;
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -42,15 +42,18 @@
 void FakeStore::write(std::string_view key, std::string_view value, std::string_view /*lease*/,
                       std::function<void(MetadataStatus)> handler)
 {
-    m_items[std::string(key)] = value;
-    ++m_revision;
-    handler(MetadataStatus::Ok);
+    if (m_writeStatus == MetadataStatus::Ok) {
+        m_items[std::string(key)] = value;
+        ++m_revision;
+    }
+    handler(m_writeStatus);
 }
 
 void FakeStore::createLease(std::chrono::milliseconds timeToLive,
                             std::function<void(const MetadataLease &)> handler)
 {
     ++m_createdLeases;
+    m_leaseTimeToLive = timeToLive;
     handler(MetadataLease{MetadataStatus::Ok, std::to_string(m_createdLeases), timeToLive});
 }
 
--- a/libs/gatewaynode/tests/fakestore.h
+++ b/libs/gatewaynode/tests/fakestore.h
@@ -47,7 +47,9 @@
     int m_strongListCalls = 0;
     //! Completes the watch after a stale listing immediately and without events.
     bool m_completeCatchUpWatches = true;
+    MetadataStatus m_writeStatus = MetadataStatus::Ok; //!< Otherwise nothing is written.
     int m_createdLeases = 0;
+    std::chrono::milliseconds m_leaseTimeToLive{0}; //!< Of the last lease created.
     bool m_leaseExists = true;
 };
 
