Replace a kept connection when a repeated request opens a new one

The connection that was used last is closed first; it is mostly the one that a copy of the refusal may still come on. A cleared crash no longer leaves an empty entry behind, either.

ForwardClientTest.UsesNoKeptConnectionWhereANewOneIsNeeded expects one open connection and failed before this change (2); Crashes.QuarantinesAfterTheLimit expects that nothing is left.

--- a/libs/forwarding/src/quarantine.cpp
+++ b/libs/forwarding/src/quarantine.cpp
@@ -79,8 +79,9 @@
     if (crashes == 0) {
         const std::unordered_map<std::uint64_t, CrashTable::Entry>::iterator found =
             table.m_entries.find(fingerprint);
-        if (found != table.m_entries.end()) {
-            found->second.m_crashes.erase(process);
+        if (found != table.m_entries.end() && found->second.m_crashes.erase(process) > 0
+            && found->second.m_crashes.empty()) {
+            table.m_entries.erase(found);
         }
         return;
     }
--- a/libs/forwarding/tests/quarantinetest.cpp
+++ b/libs/forwarding/tests/quarantinetest.cpp
@@ -37,6 +37,10 @@
     mergeCrashCount(table, start, fingerprint, 3, 1);
     mergeCrashCount(table, start, fingerprint, 2, 0);
     EXPECT_TRUE(isQuarantined(table, start, fingerprint)) << "1 and 2 crashes are left";
+    mergeCrashCount(table, start, fingerprint, 3, 0);
+    EXPECT_FALSE(isQuarantined(table, start, fingerprint));
+    mergeCrashCount(table, start, fingerprint, 1, 0);
+    EXPECT_TRUE(table.m_entries.empty());
 }
 
 // Guards against counts whose sum overflows, so that a request that crashes targets is sent again.
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -268,7 +268,7 @@
     std::string_view m_text;  //!< Head and body; not used after the call.
     bool m_idempotent = true; //!< False: uses no kept connection on which bytes wait.
     bool m_expectNoBody = false;
-    bool m_needsNewConnection = false; //!< Uses no kept connection.
+    bool m_needsNewConnection = false; //!< Replaces a kept connection instead of using it.
 };
 
 //! @brief Connections to targets for requests that are passed through; one exchange at a time on
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -106,6 +106,9 @@
 
     void send(const ForwardAttempt &attempt, ForwardHandler handler)
     {
+        if (attempt.m_needsNewConnection) {
+            closeLastUsed(attempt.m_target);
+        }
         const LinkPointer idle =
             attempt.m_needsNewConnection ? nullptr : takeIdle(attempt, steadyNow());
         if (idle) {
@@ -116,6 +119,20 @@
         open(attempt, std::move(handler));
     }
 
+    //! @brief Makes room for a new connection, so that repeated attempts do not add up to more
+    //! connections than the target accepts.
+    void closeLastUsed(const std::string &target)
+    {
+        const std::unordered_map<std::string, std::vector<LinkPointer>>::iterator found =
+            m_idle.find(target);
+        if (found == m_idle.end() || found->second.empty()) {
+            return;
+        }
+        const LinkPointer link = found->second.back();
+        found->second.pop_back();
+        close(link);
+    }
+
     void open(const ForwardAttempt &attempt, ForwardHandler handler)
     {
         const std::uint64_t id = attempt.m_attempt;
--- a/libs/transport/tests/forwardclienttest.cpp
+++ b/libs/transport/tests/forwardclienttest.cpp
@@ -106,7 +106,7 @@
 }
 
 // Guards against a repeated request that is answered by a copy of an earlier reply, which waits on
-// the connection of that reply.
+// the connection of that reply, and against more and more connections from repeated requests.
 TEST_F(ForwardClientTest, UsesNoKeptConnectionWhereANewOneIsNeeded)
 {
     std::vector<ForwardEnd> ends;
@@ -119,7 +119,7 @@
     run(50ms);
     EXPECT_EQ(ends, (std::vector<ForwardEnd>{ForwardEnd::Reply, ForwardEnd::Reply}));
     EXPECT_EQ(m_client.statistics().m_opened, 2U);
-    EXPECT_EQ(m_client.statistics().m_connections, 2U);
+    EXPECT_EQ(m_client.statistics().m_connections, 1U);
 }
 
 // Guards against a non-idempotent request on a connection that holds an unread copy of an earlier
