--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -465,7 +465,7 @@
     ForwardOutput(const ForwardOutput &) = delete;
     ForwardOutput &operator=(const ForwardOutput &) = delete;
 
-    virtual void send(const ForwardCommand &order) = 0;
+    virtual void send(const ForwardCommand &command) = 0;
 
     //! @brief Cancels an attempt in flight; its result is no longer expected. If called while the
     //! end of the attempt is being reported, closes its connection instead of reusing it.
--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -171,21 +171,22 @@
     return {result, {}};
 }
 
-void serializeAttempt(std::string &text, const ForwardCommand &order, const ForwardHeaders &headers)
+void serializeAttempt(std::string &text, const ForwardCommand &command,
+                      const ForwardHeaders &headers)
 {
     const std::int64_t milliseconds =
-        std::chrono::duration_cast<std::chrono::milliseconds>(order.m_timeLeft).count();
+        std::chrono::duration_cast<std::chrono::milliseconds>(command.m_timeLeft).count();
     text.clear();
-    text += order.m_request->m_head;
+    text += command.m_request->m_head;
     text += headers.m_timeLeft;
     text += ": ";
     text += std::to_string(std::max<std::int64_t>(1, milliseconds));
     text += "\r\n";
     text += headers.m_expectedTarget;
     text += ": ";
-    text += order.m_target->m_entry.m_id;
+    text += command.m_target->m_entry.m_id;
     text += "\r\n\r\n";
-    text += order.m_request->m_body;
+    text += command.m_request->m_body;
 }
 
 TargetReply parseTargetReply(const ReplyContent &content, const ForwardHeaders &headers)
--- a/libs/gatewaynode/src/details/callerrequests.h
+++ b/libs/gatewaynode/src/details/callerrequests.h
@@ -28,7 +28,7 @@
 ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers);
 
 //! @brief Serializes one attempt into the text. The capacity of the text is reused.
-void serializeAttempt(std::string &text, const ForwardCommand &order,
+void serializeAttempt(std::string &text, const ForwardCommand &command,
                       const ForwardHeaders &headers);
 
 //! @brief Parses the gateway's headers in a target's reply and keeps all end-to-end headers for the
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -23,7 +23,7 @@
                    const DeploymentFormat &format, MetadataStore &store, Log &log);
 
     // ForwardOutput
-    void send(const ForwardCommand &order) override;
+    void send(const ForwardCommand &command) override;
     void abandon(std::uint64_t attempt) override;
     void probe(const TargetPointer &target) override;
     void answer(const ForwardAnswer &answer) override;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -194,21 +194,22 @@
     }
 }
 
-void GatewayNode::Implementation::send(const ForwardCommand &order)
+void GatewayNode::Implementation::send(const ForwardCommand &command)
 {
-    const TargetEntry &entry = order.m_target->m_entry;
-    serializeAttempt(m_attemptBuffer, order, m_format.m_headers);
+    const TargetEntry &entry = command.m_target->m_entry;
+    serializeAttempt(m_attemptBuffer, command, m_format.m_headers);
     ForwardAttempt attempt;
-    attempt.m_attempt = order.m_attempt;
+    attempt.m_attempt = command.m_attempt;
     attempt.m_target = entry.m_id;
     attempt.m_endpoint = endpointOf(entry);
     attempt.m_text = m_attemptBuffer;
-    attempt.m_idempotent = order.m_idempotent;
-    attempt.m_expectNoBody = order.m_request->m_method == "HEAD";
-    attempt.m_needsNewConnection = order.m_needsNewConnection;
-    m_client.send(attempt, [this, id = order.m_attempt](ForwardEnd end, const ReplyContent &reply) {
-        attemptEnded(id, end, reply);
-    });
+    attempt.m_idempotent = command.m_idempotent;
+    attempt.m_expectNoBody = command.m_request->m_method == "HEAD";
+    attempt.m_needsNewConnection = command.m_needsNewConnection;
+    m_client.send(attempt,
+                  [this, id = command.m_attempt](ForwardEnd end, const ReplyContent &reply) {
+                      attemptEnded(id, end, reply);
+                  });
 }
 
 void GatewayNode::Implementation::attemptEnded(std::uint64_t attempt, ForwardEnd end,
