Log and record crashes one step at a time

Read as a newcomer would: two log calls in place of three conditional expressions, and no call with an effect inside a condition of two parts.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -474,7 +474,7 @@
     virtual void probe(const TargetPointer &target) = 0;
     virtual void answer(const ForwardAnswer &answer) = 0;
     virtual void record(const ForwardDecision &decision) = 0;
-    //! @brief Publishes to the other nodes, and for later processes of this node.
+    //! @brief Publishes the report to the other nodes and to later processes of this node.
     virtual void publishCrash(const CrashReport &report) = 0;
 };
 
--- a/libs/forwarding/src/crashattribution.cpp
+++ b/libs/forwarding/src/crashattribution.cpp
@@ -26,11 +26,12 @@
 
 void ForwardEngine::Implementation::recordCrashes(TimePoint now, Target &target)
 {
+    const std::uint64_t process = processNumber(target.m_entry);
     for (const LostRequest &lost : target.m_lostRequests) {
-        const bool isCrash = now - lost.m_lostAt < CrashTable::attributionWindow
-                             && recordCrash(m_crashes, now, lost, processNumber(target.m_entry),
-                                            target.m_reachableAt);
-        if (isCrash) {
+        if (now - lost.m_lostAt >= CrashTable::attributionWindow) {
+            continue;
+        }
+        if (recordCrash(m_crashes, now, lost, process, target.m_reachableAt)) {
             ++m_statistics.m_crashes;
             addTimer(now + crashShareDelay, TimerKind::ShareCrashes, 0);
         }
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -261,14 +261,16 @@
 
 void GatewayNode::Implementation::publishCrash(const CrashReport &report)
 {
-    const bool isCleared = report.m_crashes == 0;
-    m_log.write(isCleared ? LogLevel::Info : LogLevel::Warning,
-                isCleared ? "crash-cleared" : "target-crashed",
-                isCleared ? "a target has answered the request, so it does not crash targets"
-                          : "the request may have crashed the target",
-                {{"fingerprint", report.m_fingerprint},
-                 {"process", report.m_process},
-                 {"crashes", report.m_crashes}});
+    const boost::json::object fields{{"fingerprint", report.m_fingerprint},
+                                     {"process", report.m_process},
+                                     {"crashes", report.m_crashes}};
+    if (report.m_crashes == 0) {
+        m_log.write(LogLevel::Info, "crash-cleared",
+                    "a target has answered the request, so it does not crash targets", fields);
+    } else {
+        m_log.write(LogLevel::Warning, "target-crashed", "the request may have crashed the target",
+                    fields);
+    }
     m_crashPublisher->publish(report);
 }
 
