Describe organisations, shared quotas and relays, and agree on their interfaces

Cause: two new deployments need decisions that nodes make together; none talk to each other today. docs/design/shared-limits.md states requirements, wire formats, mechanisms and failures of each part.

Change: the page, the interface of the new libs/quota with an implementation that admits everything, and the settings types that the parts share. Nothing uses them yet.

--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "forwarding/forwarding.h"
+#include "quota/quota.h"
 #include "settings/settings.h"
 #include "telemetry/telemetry.h"
 
@@ -141,6 +142,40 @@
     std::function<Checked<TargetEntry>(std::string_view id, std::string_view text)> m_decodeTarget;
 };
 
+// Coordination of nodes --------------------------------------------------------------------------
+
+//! @brief Where other nodes reach this one, over TCP and UDP, and its weight when nodes are chosen
+//! for a role.
+struct NodeLinkSettings
+{
+    std::string m_address; //!< IP number.
+    std::uint16_t m_port = 0;
+    double m_weight = 1.0; //!< Processor share, in cores.
+};
+
+//! @brief A node that is registered in the store with its link.
+struct RegisteredNode
+{
+    std::string m_name;
+    std::string m_dataCentre;
+    NodeLinkSettings m_link;
+};
+
+//! @brief Excess over the request rate of cold targets that is permitted.
+struct WarmupTolerance
+{
+    double m_overage = 1.0; //!< Factor on the rate.
+    double m_slack = 0.0;   //!< Requests a second on top of that.
+};
+
+//! @brief Settings of what nodes do together. What is absent is switched off.
+struct CoordinationSettings
+{
+    std::optional<NodeLinkSettings> m_link;
+    std::optional<QuotaTolerance> m_quota;
+    std::optional<WarmupTolerance> m_warmup;
+};
+
 // Node -------------------------------------------------------------------------------------------
 
 //! @brief Time since boot. Unlike the steady clock, it advances while the VM is suspended.
