--- a/libs/quota/include/quota/quota.h
+++ b/libs/quota/include/quota/quota.h
@@ -52,13 +52,15 @@
     std::uint64_t m_organisation = 0; //!< stableHash of the name.
     std::uint64_t m_consumed = 0;
     std::uint64_t m_returned = 0;
-    std::uint32_t m_wanted = 0; //!< Tokens that the node would like to hold now.
+    std::uint32_t m_wanted = 0;  //!< Tokens that the node would like to hold now.
+    std::uint32_t m_pending = 0; //!< Of those, tokens for which requests are waiting.
 };
 
 //! @brief From a node to the coordinator of a partition.
 struct QuotaReport
 {
-    std::uint64_t m_nodeSession = 0;        //!< New with each process.
+    //! New with each process and each coordinator; all counters of the uses start at 0 with it.
+    std::uint64_t m_nodeSession = 0;
     std::uint64_t m_coordinatorSession = 0; //!< 0 before the first reply.
     std::int64_t m_sentAt = 0;              //!< On the node's clock, in microseconds.
     std::int64_t m_coordinatorTime = 0;     //!< Of the last reply, on the coordinator's clock.
@@ -72,8 +74,11 @@
 {
     std::uint64_t m_organisation = 0;
     std::uint64_t m_granted = 0;                //!< Cumulative since the start of the session.
-    std::uint32_t m_retryAfterMilliseconds = 0; //!< Until the next token, if one was refused.
+    //! Until the next token, if one was refused; 0 if the coordinator has too small a share of the
+    //! quota to tell whether it is used up.
+    std::uint32_t m_retryAfterMilliseconds = 0;
     bool m_exhausted = false;                   //!< Fewer tokens were granted than wanted.
+    bool m_recalled = false; //!< Unused tokens exceed the capacity and must be returned.
 };
 
 //! @brief From the coordinator to a node, in answer to each report.
@@ -85,6 +90,8 @@
     std::int64_t m_coordinatorTime = 0;     //!< On the coordinator's clock, in microseconds.
     std::uint32_t m_partition = 0;
     std::uint32_t m_partitions = 1;
+    //! All tokens held are valid until 1,500 ms after m_reportSentAt; otherwise no longer than before.
+    bool m_renews = true;
     std::vector<QuotaGrant> m_grants;
 };
 
