Identify callers by API keys and name their organisation to targets

Where the configuration has tenants, a request needs the key of an organisation unless its route allows anonymous access. A request uses the version of the configuration that was in force when it was read, in the gateway and in the engine.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -44,6 +44,34 @@
     std::vector<std::string> m_shards; //!< Services queried by a search; empty for other routes.
     std::size_t m_topRecords = 0;      //!< Maximum number of records in a search response.
     double m_minimumShardShare = 1.0;  //!< Minimum fraction of shards needed for a success.
+    bool m_anonymousAccess = false;    //!< No API key is needed, even if there are organisations.
+};
+
+// Organisations ----------------------------------------------------------------------------------
+
+inline constexpr std::size_t maximumOrganisations = 10'000;
+inline constexpr std::size_t maximumApiKeys = 10'000; //!< Of all organisations together.
+inline constexpr std::size_t maximumOrganisationNameBytes = 200;
+
+//! @brief HMAC-SHA-256 of an API key under a random key of this process.
+using ApiKeyHash = std::array<unsigned char, 32>;
+
+//! @brief An API key of the configuration, of which only the hash is kept.
+struct ApiKey
+{
+    ApiKeyHash m_hash{};
+    std::size_t m_organisation = 0; //!< Index in RoutingTable::m_organisations.
+    std::size_t m_position = 0;     //!< In the key list of the organisation.
+    bool m_isEmpty = false;
+};
+
+//! @brief An organisation whose callers send requests under its API keys.
+struct Organisation
+{
+    std::string m_name;
+    std::optional<int> m_priority; //!< Overrides the priority of routes; 0 is the highest.
+    double m_ratePerSecond = 0.0;  //!< Over all nodes; unlimited if this and the burst are 0.
+    double m_burst = 0.0;          //!< Requests.
 };
 
 //! @brief Size limits and timeouts for caller connections.
@@ -62,6 +90,12 @@
     std::vector<Route> m_routes;
     std::unordered_map<std::string, int> m_connectionLimits; //!< By service, for all nodes.
     CallerLimits m_limits;
+    //! Requests need an API key. May be true without organisations, when the last one is removed.
+    bool m_definesOrganisations = false;
+    std::vector<Organisation> m_organisations;
+    std::vector<ApiKey> m_apiKeys; //!< In the order of the configuration.
+    //! Indices in m_apiKeys, by the first 8 bytes of the hash.
+    std::unordered_multimap<std::uint64_t, std::size_t> m_apiKeyIndex;
 };
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
@@ -72,6 +106,35 @@
 //! @brief Returns the route of the host with the longest matching path prefix, or null.
 const Route *findRoute(const RoutingTable &table, std::string_view host, std::string_view path);
 
+//! @brief Returns the hash of an API key. It differs between processes, so that the hashes in a log
+//! cannot be searched for short keys.
+ApiKeyHash hashApiKey(std::string_view key);
+
+//! @brief Adds an organisation and the hashes of its keys. validateRoutingTable() reports empty and
+//! duplicate keys.
+void addOrganisation(RoutingTable &table, const Organisation &organisation,
+                     std::span<const std::string> keys);
+
+enum class CallerStatus {
+    Anonymous,   //!< No organisation; the request may be forwarded.
+    Identified,  //!< The request has the key of an organisation.
+    Unauthorized //!< The route needs a key, and the request has none that is valid.
+};
+
+//! @brief Who sent a request.
+struct CallerIdentity
+{
+    CallerStatus m_status = CallerStatus::Anonymous;
+    const Organisation *m_organisation = nullptr; //!< In the routing table; null if not identified.
+    std::string m_keyHash;     //!< Start of the hash of the key, for logs; empty without a key.
+    std::string_view m_reason; //!< String constant, for Unauthorized.
+};
+
+//! @brief Identifies the caller of a request on a route of the table.
+//! @param authorization value of the Authorization header, or empty.
+CallerIdentity identifyCaller(const RoutingTable &table, const Route &route,
+                              std::string_view authorization);
+
 //! @brief Selects a service by smooth weighted round robin and returns its index.
 //!
 //! Unlike random selection, this matches the weights after only a few requests.
@@ -384,6 +447,11 @@
     std::optional<Duration> m_timeLeft; //!< Time until the caller's deadline.
     CallerPath m_callerPath;
     std::uint64_t m_fingerprint = 0; //!< Same value if the request is sent again.
+    //! Version in force when the request was read; null: the current one of the engine.
+    RoutingTablePointer m_routingTable;
+    std::string m_organisation;    //!< Name; empty if the caller is not identified.
+    std::optional<int> m_priority; //!< Of the organisation; overrides the route's.
+    std::string m_keyHash;         //!< Start of the hash of the API key, for logs.
 };
 
 using ForwardRequestPointer = std::shared_ptr<const ForwardRequest>;
@@ -413,13 +481,27 @@
 };
 
 enum class AnswerKind {
-    Relayed,     //!< A target's reply.
-    Merged,      //!< Merged records of several shards.
-    NoRoute,     //!< No route matches the request.
-    Refused,     //!< The request was not run and will not be run.
-    Failed,      //!< No usable reply; the request may have run.
-    TimedOut,    //!< Deadline exceeded; the request may have run.
-    Quarantined, //!< The request crashes targets and is no longer forwarded.
+    Relayed,       //!< A target's reply.
+    Merged,        //!< Merged records of several shards.
+    NoRoute,       //!< No route matches the request.
+    Refused,       //!< The request was not run and will not be run.
+    Failed,        //!< No usable reply; the request may have run.
+    TimedOut,      //!< Deadline exceeded; the request may have run.
+    Quarantined,   //!< The request crashes targets and is no longer forwarded.
+    Unauthorized,  //!< The request has no valid API key; it was not run.
+    QuotaExceeded, //!< The quota of the organisation is used up; the request was not run.
+};
+
+inline constexpr std::size_t answerKindCount = 9;
+
+//! @brief Reason not to forward a request, decided outside of the engine.
+struct ForwardRefusal
+{
+    AnswerKind m_kind = AnswerKind::Refused;
+    int m_status = 503;
+    std::string_view m_reason; //!< String constant such as "key-unknown".
+    std::optional<Duration> m_retryAfter;
+    std::string_view m_coordinator; //!< Node that decided on the quota; empty if none did.
 };
 
 //! @brief The response to a caller; exactly one per request unless the caller disconnects.
@@ -445,6 +527,9 @@
     std::string_view m_route;
     std::string_view m_service;
     std::string_view m_target;
+    std::string_view m_organisation;            //!< Empty if the caller is not identified.
+    std::string_view m_keyHash;                 //!< Start of the hash of the API key.
+    std::string_view m_coordinator;             //!< Node that decided on the quota.
     std::uint64_t m_version = 0;                //!< Configuration version used for the request.
     Duration m_age{0};                          //!< Since the request arrived.
     std::optional<Duration> m_sinceSent;        //!< Since the attempt was sent.
@@ -489,7 +574,7 @@
 struct ForwardStatistics
 {
     std::uint64_t m_requests = 0;
-    std::array<std::uint64_t, 7> m_answers{}; //!< By AnswerKind.
+    std::array<std::uint64_t, answerKindCount> m_answers{}; //!< By AnswerKind.
     std::uint64_t m_successes = 0;
     std::uint64_t m_partial = 0; //!< Successful searches with missing shards.
     std::uint64_t m_attempts = 0;
@@ -532,6 +617,9 @@
 
     void submit(TimePoint now, const ForwardRequestPointer &request);
 
+    //! @brief Answers a request that is not forwarded. It is counted and logged like others.
+    void refuse(const ForwardRequestPointer &request, const ForwardRefusal &refusal);
+
     //! @brief Answers all requests, present and later ones, before the end of a planned stop, and
     //! refuses those that are not expected to end by then.
     void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -89,7 +89,8 @@
         return;
     }
     std::deque<QueuedSubrequest> &queue = pending.m_subrequests[index].m_service->m_queue;
-    const QueuedSubrequest entry{pending.m_id, index, pending.m_route->m_priority};
+    const int priority = pending.m_request->m_priority.value_or(pending.m_route->m_priority);
+    const QueuedSubrequest entry{pending.m_id, index, priority};
     queue.insert(std::upper_bound(queue.begin(), queue.end(), entry,
                                   [](const QueuedSubrequest &left, const QueuedSubrequest &right) {
                                       return left.m_priority < right.m_priority;
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -128,8 +128,8 @@
     // Submission and timers (engine.cpp)
     void submit(TimePoint now, const ForwardRequestPointer &request);
     void startRequest(TimePoint now, const ForwardRequestPointer &request, const Route &route);
-    void refuseRequest(const ForwardRequest &request, AnswerKind kind, int status,
-                       std::string_view reason, std::optional<Duration> retryAfter);
+    void refuseRequest(const ForwardRequest &request, const ForwardRefusal &refusal);
+    const RoutingTablePointer &routingTableOf(const ForwardRequest &request) const;
     void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
     void limitToShutdown(PendingRequest &pending);
     RequestEstimate estimateRequest(TimePoint now, const PendingRequest &pending) const;
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -80,6 +80,12 @@
     m_implementation->submit(now, request);
 }
 
+void ForwardEngine::refuse(const ForwardRequestPointer &request, const ForwardRefusal &refusal)
+{
+    ++m_implementation->m_statistics.m_requests;
+    m_implementation->refuseRequest(*request, refusal);
+}
+
 void ForwardEngine::beginShutdown(TimePoint now, const ShutdownSchedule &schedule)
 {
     m_implementation->beginShutdown(now, schedule);
@@ -116,41 +122,52 @@
 void ForwardEngine::Implementation::submit(TimePoint now, const ForwardRequestPointer &request)
 {
     ++m_statistics.m_requests;
-    if (!m_routingTable) {
-        refuseRequest(*request, AnswerKind::Refused, 503, "no-configuration",
-                      noConfigurationRetryAfter);
+    const RoutingTablePointer &table = routingTableOf(*request);
+    if (!table) {
+        refuseRequest(
+            *request,
+            {AnswerKind::Refused, 503, "no-configuration", noConfigurationRetryAfter, {}});
         return;
     }
-    const Route *route = findRoute(*m_routingTable, request->m_host, request->m_path);
+    const Route *route = findRoute(*table, request->m_host, request->m_path);
     if (route == nullptr) {
-        refuseRequest(*request, AnswerKind::NoRoute, 404, "no-route", std::nullopt);
+        refuseRequest(*request, {AnswerKind::NoRoute, 404, "no-route", std::nullopt, {}});
         return;
     }
     if (isQuarantined(m_crashes, now, request->m_fingerprint)) {
-        refuseRequest(*request, AnswerKind::Quarantined, 503, "quarantined", std::nullopt);
+        refuseRequest(*request, {AnswerKind::Quarantined, 503, "quarantined", std::nullopt, {}});
         return;
     }
     startRequest(now, request, *route);
 }
 
-void ForwardEngine::Implementation::refuseRequest(const ForwardRequest &request, AnswerKind kind,
-                                                  int status, std::string_view reason,
-                                                  std::optional<Duration> retryAfter)
+const RoutingTablePointer &ForwardEngine::Implementation::routingTableOf(
+    const ForwardRequest &request) const
+{
+    return request.m_routingTable ? request.m_routingTable : m_routingTable;
+}
+
+void ForwardEngine::Implementation::refuseRequest(const ForwardRequest &request,
+                                                  const ForwardRefusal &refusal)
 {
     ForwardAnswer answer;
     answer.m_caller = request.m_caller;
-    answer.m_kind = kind;
-    answer.m_status = status;
-    answer.m_reason = reason;
-    answer.m_retryAfter = retryAfter;
-    ++m_statistics.m_answers[static_cast<std::size_t>(kind)];
+    answer.m_kind = refusal.m_kind;
+    answer.m_status = refusal.m_status;
+    answer.m_reason = refusal.m_reason;
+    answer.m_retryAfter = refusal.m_retryAfter;
+    ++m_statistics.m_answers[static_cast<std::size_t>(refusal.m_kind)];
+    const RoutingTablePointer &table = routingTableOf(request);
     ForwardDecision decision;
     decision.m_event = "answer";
-    decision.m_reason = reason;
+    decision.m_reason = refusal.m_reason;
     decision.m_requestId = request.m_requestId;
-    decision.m_version = m_routingTable ? m_routingTable->m_version : 0;
-    decision.m_status = status;
-    if (kind == AnswerKind::Quarantined) {
+    decision.m_organisation = request.m_organisation;
+    decision.m_keyHash = request.m_keyHash;
+    decision.m_coordinator = refusal.m_coordinator;
+    decision.m_version = table ? table->m_version : 0;
+    decision.m_status = refusal.m_status;
+    if (refusal.m_kind == AnswerKind::Quarantined) {
         decision.m_fingerprint = request.m_fingerprint;
     }
     m_output.record(decision);
@@ -165,7 +182,7 @@
     PendingRequest &pending = *owned;
     pending.m_id = ++m_lastId;
     pending.m_request = request;
-    pending.m_routingTable = m_routingTable;
+    pending.m_routingTable = routingTableOf(*request);
     pending.m_route = &route;
     pending.m_routeLatency = &routeLatency(route);
     pending.m_arrivedAt = now;
@@ -198,12 +215,13 @@
         route.m_shards.empty() ? pending.m_subrequests.front().m_service : nullptr;
     if (!canServe(now, route, singleService)) {
         m_unreachableUntil = now + unreachablePeriod;
-        refuseRequest(*request, AnswerKind::Refused, 503, "targets-unreachable",
-                      unreachableRetryAfter);
+        refuseRequest(*request,
+                      {AnswerKind::Refused, 503, "targets-unreachable", unreachableRetryAfter, {}});
         return;
     }
     if (m_shutdown && !acceptsInShutdown(now, pending)) {
-        refuseRequest(*request, AnswerKind::Refused, 503, "shutting-down", shutdownRetryAfter);
+        refuseRequest(*request,
+                      {AnswerKind::Refused, 503, "shutting-down", shutdownRetryAfter, {}});
         return;
     }
     m_pendingIdByCaller[request->m_caller] = pending.m_id;
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -337,6 +337,8 @@
     decision.m_reason = answer.m_reason;
     decision.m_requestId = pending.m_request->m_requestId;
     decision.m_route = pending.m_route->m_name;
+    decision.m_organisation = pending.m_request->m_organisation;
+    decision.m_keyHash = pending.m_request->m_keyHash;
     decision.m_version = pending.m_routingTable->m_version;
     decision.m_age = now - pending.m_arrivedAt;
     decision.m_status = answer.m_status;
--- a/libs/forwarding/src/routingtable.cpp
+++ b/libs/forwarding/src/routingtable.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/forwarding.h"
+#include "details/organisations.h"
 
 namespace arbutusgrade {
 
@@ -11,6 +11,7 @@
             finding.m_message = "the route " + route.m_name + " names no service";
         }
     }
+    validateOrganisations(table, findings);
     return findings;
 }
 
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -127,6 +127,7 @@
     std::string m_notExecuted;    //!< In replies of targets that did not execute the request.
     std::string m_shardReceipts;  //!< Receipts of all shards in a search response.
     std::string m_missingShards;  //!< Count of shards missing from a search response.
+    std::string m_organisation;   //!< Name of the caller's organisation, set for targets.
 };
 
 //! @brief Header names, paths, store keys and document decoders of a deployment.
--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -13,6 +13,8 @@
 
 using boost::beast::iequals;
 
+constexpr int unauthorizedStatus = 401;
+
 // Hop-by-hop headers (RFC 9110, section 7.6.1), including Transfer-Encoding, as messages are framed
 // again for the next hop.
 constexpr std::array<std::string_view, 9> hopByHopHeaders{"connection",
@@ -121,14 +123,18 @@
     return CallerPath{request.m_roundTrip.value_or(defaultCallerRoundTrip), request.m_isFirst};
 }
 
-ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers)
+ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers,
+                                       const RoutingTablePointer &table)
 {
     const std::shared_ptr<ForwardRequest> result = std::make_shared<ForwardRequest>();
     if (request.m_target.empty() || request.m_target.front() != '/') {
-        return {nullptr, "the request target is not a path"};
+        return {nullptr, "the request target is not a path", {}};
     }
     const std::string_view connectionHeader = request.header("connection");
     std::string head = request.m_method + ' ' + request.m_target + " HTTP/1.1\r\n";
+    const bool hasOrganisations = table && table->m_definesOrganisations;
+    std::string authorization;
+    int authorizationCount = 0;
     int hostCount = 0;
     for (const std::pair<std::string, std::string> &header : request.m_headers) {
         if (iequals(header.first, "host")) {
@@ -136,12 +142,18 @@
             result->m_host = normalizeHost(header.second);
         } else if (iequals(header.first, headers.m_requestId)) {
             if (!result->m_requestId.empty()) {
-                return {nullptr, "the request has several ids"};
+                return {nullptr, "the request has several ids", {}};
             }
             result->m_requestId = header.second;
         } else if (iequals(header.first, headers.m_timeLeft)) {
             result->m_timeLeft = parseMilliseconds(header.second);
             continue;
+        } else if (hasOrganisations && iequals(header.first, "authorization")) {
+            ++authorizationCount;
+            authorization = header.second;
+            continue;
+        } else if (hasOrganisations && iequals(header.first, headers.m_organisation)) {
+            continue;
         } else if (iequals(header.first, headers.m_expectedTarget)
                    || iequals(header.first, "expect")
                    || isHopByHop(header.first, connectionHeader)) {
@@ -153,10 +165,10 @@
         head += "\r\n";
     }
     if (hostCount != 1 || result->m_host.empty()) {
-        return {nullptr, "the request needs one Host header"};
+        return {nullptr, "the request needs one Host header", {}};
     }
     if (result->m_requestId.empty()) {
-        return {nullptr, "the request has no id"};
+        return {nullptr, "the request has no id", {}};
     }
     if (hasBody(request)) {
         head += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
@@ -168,7 +180,33 @@
     result->m_head = std::move(head);
     result->m_body = request.m_body;
     result->m_fingerprint = computeFingerprint(*result, request.m_target);
-    return {result, {}};
+    result->m_routingTable = table;
+    // Which of several keys counts would be a guess.
+    return {result, {}, authorizationCount == 1 ? authorization : std::string()};
+}
+
+std::optional<ForwardRefusal> authorizeRequest(const ParsedCallerRequest &parsed,
+                                               const ForwardHeaders &headers)
+{
+    ForwardRequest &request = *parsed.m_request;
+    const RoutingTable *table = request.m_routingTable.get();
+    const Route *route =
+        table != nullptr ? findRoute(*table, request.m_host, request.m_path) : nullptr;
+    if (route == nullptr) {
+        return std::nullopt;
+    }
+    const CallerIdentity identity = identifyCaller(*table, *route, parsed.m_authorization);
+    request.m_keyHash = identity.m_keyHash;
+    if (identity.m_status == CallerStatus::Unauthorized) {
+        return ForwardRefusal{
+            AnswerKind::Unauthorized, unauthorizedStatus, identity.m_reason, std::nullopt, {}};
+    }
+    if (identity.m_organisation != nullptr) {
+        request.m_organisation = identity.m_organisation->m_name;
+        request.m_priority = identity.m_organisation->m_priority;
+        request.m_head += headers.m_organisation + ": " + request.m_organisation + "\r\n";
+    }
+    return std::nullopt;
 }
 
 void serializeAttempt(std::string &text, const ForwardCommand &command,
@@ -229,6 +267,9 @@
         return response;
     }
     response.m_body = R"({"error":")" + std::string(answer.m_reason) + "\"}";
+    if (answer.m_kind == AnswerKind::Unauthorized) {
+        response.m_headers.emplace_back("WWW-Authenticate", "Token");
+    }
     if (answer.m_retryAfter) {
         response.m_headers.emplace_back("Retry-After", formatSeconds(*answer.m_retryAfter));
     }
--- a/libs/gatewaynode/src/decisionlog.cpp
+++ b/libs/gatewaynode/src/decisionlog.cpp
@@ -31,6 +31,15 @@
     if (!decision.m_target.empty()) {
         fields["target"] = decision.m_target;
     }
+    if (!decision.m_organisation.empty()) {
+        fields["organisation"] = decision.m_organisation;
+    }
+    if (!decision.m_keyHash.empty()) {
+        fields["keyHash"] = decision.m_keyHash;
+    }
+    if (!decision.m_coordinator.empty()) {
+        fields["coordinator"] = decision.m_coordinator;
+    }
     fields["version"] = decision.m_version;
     fields["ageMicroseconds"] = decision.m_age.count();
     if (decision.m_sinceSent) {
--- a/libs/gatewaynode/src/details/callerrequests.h
+++ b/libs/gatewaynode/src/details/callerrequests.h
@@ -19,13 +19,24 @@
 //! @brief Result of parsing a caller's request: the request to forward, or a parse error.
 struct ParsedCallerRequest
 {
-    ForwardRequestPointer m_request; //!< Null if the request is malformed.
+    std::shared_ptr<ForwardRequest> m_request; //!< Null if the request is malformed.
     std::string_view m_error;
+    std::string m_authorization; //!< Empty if there are no organisations, or several such headers.
 };
 
 //! @brief Validates a caller's request and prepares it for forwarding. Hop-by-hop headers and the
-//! headers that the gateway sets on each attempt are removed.
-ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers);
+//! headers that the gateway sets on each attempt are removed, and so are API keys and names of
+//! organisations if the table has organisations.
+//! @param table the version to use for the request; null if there is none yet.
+ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers,
+                                       const RoutingTablePointer &table = nullptr);
+
+//! @brief Identifies the caller by the request's own version of the routing table, and names its
+//! organisation to the target.
+//! @return the refusal, if the caller is not authorised. Requests without a table or a route are
+//! left to the engine.
+std::optional<ForwardRefusal> authorizeRequest(const ParsedCallerRequest &parsed,
+                                               const ForwardHeaders &headers);
 
 //! @brief Serializes one attempt into the text. The capacity of the text is reused.
 void serializeAttempt(std::string &text, const ForwardCommand &command,
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "details/callerrequests.h"
 #include "details/crashpublisher.h"
 #include "details/decisionlog.h"
 #include "details/membership.h"
@@ -33,6 +34,9 @@
     std::string start();
     std::string listen(HttpServer &server, const std::string &address, std::uint16_t port);
     void submit(const HttpRequest &request, const HttpResponder &responder);
+    //! @brief Identifies the caller; answers the request and returns false if it is refused.
+    bool identifyRequest(const ParsedCallerRequest &parsed);
+    void forwardRequest(TimePoint now, const ForwardRequestPointer &request);
     void recordCallerPath(const HttpRequest &request);
     void attemptEnded(std::uint64_t attempt, ForwardEnd end, const ReplyContent &content);
     void storeStateChanged();
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -166,7 +166,8 @@
 
 void GatewayNode::Implementation::submit(const HttpRequest &request, const HttpResponder &responder)
 {
-    const ParsedCallerRequest parsed = parseCallerRequest(request, m_format.m_headers);
+    const ParsedCallerRequest parsed =
+        parseCallerRequest(request, m_format.m_headers, m_engine.routing());
     if (!parsed.m_request) {
         m_log.write(LogLevel::Info, "request-malformed", parsed.m_error);
         responder(errorResponse(400, parsed.m_error));
@@ -176,10 +177,27 @@
     const TimePoint now = bootTimeNow();
     m_pendingExchanges[request.m_exchange] =
         PendingExchange{responder, now, parsed.m_request->m_requestId};
-    m_engine.submit(now, parsed.m_request);
+    if (identifyRequest(parsed)) {
+        forwardRequest(now, parsed.m_request);
+    }
     armEngineTimer();
 }
 
+bool GatewayNode::Implementation::identifyRequest(const ParsedCallerRequest &parsed)
+{
+    const std::optional<ForwardRefusal> refusal = authorizeRequest(parsed, m_format.m_headers);
+    if (refusal) {
+        m_engine.refuse(parsed.m_request, *refusal);
+    }
+    return !refusal;
+}
+
+void GatewayNode::Implementation::forwardRequest(TimePoint now,
+                                                 const ForwardRequestPointer &request)
+{
+    m_engine.submit(now, request);
+}
+
 void GatewayNode::Implementation::recordCallerPath(const HttpRequest &request)
 {
     if (request.m_isFirst) {
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> answerNames{
-    "relayed", "merged", "no-route", "refused", "failed", "timed-out", "quarantined"};
+constexpr std::array<std::string_view, answerKindCount> answerNames{
+    "relayed",   "merged",      "no-route",     "refused",       "failed",
+    "timed-out", "quarantined", "unauthorized", "quota-exceeded"};
 
 } // namespace
 
--- a/libs/gatewaynode/tests/callerrequeststest.cpp
+++ b/libs/gatewaynode/tests/callerrequeststest.cpp
@@ -11,7 +11,7 @@
 ForwardHeaders testHeaders()
 {
     return ForwardHeaders{"X-Id",      "X-Time",  "X-Target", "X-Receipt",
-                          "X-Not-Run", "X-Parts", "X-Lacks"};
+                          "X-Not-Run", "X-Parts", "X-Lacks",  "X-Org"};
 }
 
 HttpRequest makeRequest(const HttpHeaders &headers)
--- a/libs/gatewaynode/tests/gatewaynodetest.cpp
+++ b/libs/gatewaynode/tests/gatewaynodetest.cpp
@@ -38,7 +38,7 @@
 {
     DeploymentFormat format;
     format.m_headers = {"X-Id",      "X-Time",  "X-Target", "X-Receipt",
-                        "X-Not-Run", "X-Parts", "X-Lacks"};
+                        "X-Not-Run", "X-Parts", "X-Lacks",  "X-Org"};
     format.m_readinessPath = "/ready";
     format.m_configurationKey = "config";
     format.m_targetPrefix = "targets/";
--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -98,6 +98,26 @@
     });
 }
 
+//! @brief Reads what the platform says about this node. Faults only switch features off.
+arbutusgrade::CoordinationSettings readCoordinationSettings(arbutusgrade::Log &log)
+{
+    const char *text = std::getenv(arbutusgrade::platform::nodeDescriptionVariable);
+    const arbutusgrade::platform::NodeDescription node =
+        arbutusgrade::platform::decodeNodeDescription(text != nullptr ? text : "");
+    for (const arbutusgrade::Finding &finding : node.m_findings) {
+        log.write(arbutusgrade::LogLevel::Warning, "node-description-faulty",
+                  arbutusgrade::formatFinding(finding),
+                  {{"variable", arbutusgrade::platform::nodeDescriptionVariable}});
+    }
+    const arbutusgrade::CoordinationSettings &settings = node.m_coordination;
+    log.write(arbutusgrade::LogLevel::Info, "node-description-read", "",
+              {{"set", text != nullptr},
+               {"link", settings.m_link.has_value()},
+               {"quota", settings.m_quota.has_value()},
+               {"warmup", settings.m_warmup.has_value()}});
+    return settings;
+}
+
 int run(const std::string &path, const arbutusgrade::GatewaySettings &settings)
 {
     // Everything runs on this thread, so the locks around sockets would only cost time.
@@ -106,6 +126,8 @@
     logOptions.m_node = settings.m_node;
     logOptions.m_output = arbutusgrade::LogOutput::BoundedStandardOutput;
     arbutusgrade::Log log(logOptions);
+    [[maybe_unused]] const arbutusgrade::CoordinationSettings coordination =
+        readCoordinationSettings(log);
     const std::unique_ptr<arbutusgrade::MetadataStore> store = arbutusgrade::platform::createStore(
         context, settings.m_store, arbutusgrade::MetadataStoreOptions{});
     arbutusgrade::GatewayNode node(context, settings, arbutusgrade::platform::deploymentFormat(),
