Rename the gossip state of a target

Cause: libs/membership and libs/forwarding both had a struct TargetEntry. A gateway that exchanges datagrams with other nodes includes headers of both, and two types of one name in one program are undefined behaviour.

Change: the one of gossip is now called SharedTargetEntry.

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -237,7 +237,7 @@
 };
 
 //! @brief State of a target; private to the library.
-struct TargetEntry
+struct SharedTargetEntry
 {
     std::string m_dataCentre;
     SharedTargetState m_state; //!< Sequence 0: no state is known yet.
@@ -294,7 +294,7 @@
 
     std::map<std::string, Member> m_members; //!< Excludes this node.
     std::map<std::string, MembershipSeed> m_seeds;
-    std::map<std::string, TargetEntry> m_targets;
+    std::map<std::string, SharedTargetEntry> m_targets;
     std::map<std::uint64_t, QuarantineEntry> m_quarantines;
     std::map<std::string, TimePoint> m_lastHeardFrom;      //!< By data centre of the sender.
     std::map<std::string, TimePoint> m_nextDelegateProbes; //!< By remote data centre.
--- a/libs/membership/src/gossip.cpp
+++ b/libs/membership/src/gossip.cpp
@@ -84,7 +84,7 @@
                                entry.first, false});
         }
     }
-    for (const std::pair<const std::string, TargetEntry> &entry : core.m_targets) {
+    for (const std::pair<const std::string, SharedTargetEntry> &entry : core.m_targets) {
         if (entry.second.m_remainingTransmits > 0) {
             const Urgency urgency =
                 entry.second.m_state.m_draining ? Urgency::Draining : Urgency::Normal;
@@ -183,7 +183,7 @@
                 --entry.m_remainingTransmits;
             }
         } else if (pending.m_isTarget) {
-            TargetEntry &entry = core.m_targets.at(*pending.m_name);
+            SharedTargetEntry &entry = core.m_targets.at(*pending.m_name);
             if (addIfFits(message.m_targets, entry.m_state, availableBytes)) {
                 --entry.m_remainingTransmits;
             }
@@ -487,7 +487,7 @@
     for (const std::pair<const std::string, Member> &entry : core.m_members) {
         snapshot.m_members.push_back(entry.second.m_update);
     }
-    for (const std::pair<const std::string, TargetEntry> &entry : core.m_targets) {
+    for (const std::pair<const std::string, SharedTargetEntry> &entry : core.m_targets) {
         if (entry.second.m_state.m_sequence > 0) {
             snapshot.m_targets.push_back(entry.second.m_state);
         }
--- a/libs/membership/src/targets.cpp
+++ b/libs/membership/src/targets.cpp
@@ -41,8 +41,8 @@
 {
     const std::vector<std::string> peers =
         membershipdetails::liveMembers(core, core.m_options.m_dataCentre);
-    for (std::pair<const std::string, TargetEntry> &entry : core.m_targets) {
-        TargetEntry &target = entry.second;
+    for (std::pair<const std::string, SharedTargetEntry> &entry : core.m_targets) {
+        SharedTargetEntry &target = entry.second;
         if (target.m_dataCentre != core.m_options.m_dataCentre) {
             target.m_isProber = false;
             continue;
@@ -64,7 +64,7 @@
 }
 
 //! @brief Publishes a state that differs from the shared state, with the next sequence number.
-void publishTargetState(MembershipCore &core, TimePoint now, const TargetEntry &known,
+void publishTargetState(MembershipCore &core, TimePoint now, const SharedTargetEntry &known,
                         SharedTargetState state, MembershipActions &actions)
 {
     if (known.m_state.m_sequence > 0 && sameContent(known.m_state, state)) {
@@ -85,7 +85,7 @@
     if (found == core.m_targets.end() || state.m_sequence == 0) {
         return;
     }
-    TargetEntry &entry = found->second;
+    SharedTargetEntry &entry = found->second;
     const bool isNewer = state.m_sequence > entry.m_state.m_sequence;
     const bool winsTie = state.m_sequence == entry.m_state.m_sequence
                          && !sameContent(state, entry.m_state)
@@ -116,8 +116,8 @@
         core.m_proberChoiceOutdated = false;
         chooseProbers(core, now);
     }
-    for (std::pair<const std::string, TargetEntry> &entry : core.m_targets) {
-        TargetEntry &target = entry.second;
+    for (std::pair<const std::string, SharedTargetEntry> &entry : core.m_targets) {
+        SharedTargetEntry &target = entry.second;
         if (target.m_isProber && now >= target.m_nextProbe) {
             target.m_nextProbe = now + core.m_options.m_targetProbeInterval;
             ++core.m_statistics.m_targetProbes;
@@ -129,7 +129,7 @@
 TimePoint nextTargetProbeTime(const MembershipCore &core)
 {
     TimePoint next = farFuture;
-    for (const std::pair<const std::string, TargetEntry> &entry : core.m_targets) {
+    for (const std::pair<const std::string, SharedTargetEntry> &entry : core.m_targets) {
         if (entry.second.m_isProber) {
             next = std::min(next, entry.second.m_nextProbe);
         }
@@ -141,10 +141,10 @@
 
 void updateTargets(MembershipCore &core, TimePoint now, const std::vector<TargetLocation> &targets)
 {
-    std::map<std::string, TargetEntry> entries;
+    std::map<std::string, SharedTargetEntry> entries;
     for (const TargetLocation &location : targets) {
         const auto known = core.m_targets.find(location.m_target);
-        TargetEntry &entry = entries[location.m_target];
+        SharedTargetEntry &entry = entries[location.m_target];
         if (known != core.m_targets.end()) {
             entry = std::move(known->second);
         }
@@ -162,7 +162,7 @@
     if (found == core.m_targets.end()) {
         return;
     }
-    TargetEntry &entry = found->second;
+    SharedTargetEntry &entry = found->second;
     SharedTargetState state = entry.m_state;
     if (!result) {
         ++entry.m_probeFailures;
--- a/libs/membership/tests/membershiptest.cpp
+++ b/libs/membership/tests/membershiptest.cpp
@@ -372,7 +372,7 @@
     runFor(second * 5);
     std::map<std::string, int> probers;
     for (const std::pair<const std::string, Node> &node : m_nodes) {
-        for (const std::pair<const std::string, TargetEntry> &target :
+        for (const std::pair<const std::string, SharedTargetEntry> &target :
              node.second.m_core.m_targets) {
             probers[target.first] += target.second.m_isProber ? 1 : 0;
             EXPECT_TRUE(!target.second.m_isProber
