Encode the messages of quotas and give datagrams a socket of their own

Cause: gateway nodes exchange reports and replies on quotas, for which there was neither an encoding nor a socket.

Change: libs/wire encodes QuotaReport and QuotaReply as one Thrift struct after a byte with the version of the format, and refuses what is larger than 1,200 bytes, of another version or out of range. The UDP part of GossipSocket becomes DatagramSocket, which hands over bytes; GossipSocket only decodes.

--- a/libs/peer/include/peer/peer.h
+++ b/libs/peer/include/peer/peer.h
@@ -12,17 +12,13 @@
 #include "base/base.h"
 #include "wire/wire.h"
 
-//! @brief Transport between nodes: gossip datagrams over UDP, and length-prefixed request and reply
+//! @brief Transport between nodes: datagrams over UDP, and length-prefixed request and reply
 //! frames over TCP.
 //!
 //! All classes must be used on the thread that runs their io_context. Addresses are numeric IP
 //! addresses; host names are not resolved.
 namespace arbutusgrade {
 
-//! @brief Called with each valid datagram and the address and port of its sender.
-using GossipHandler =
-    std::function<void(const std::string &address, std::uint16_t port, const GossipMessage &)>;
-
 //! @brief Traffic counters since start, exported as metrics.
 struct PeerStatistics
 {
@@ -35,21 +31,27 @@
     std::uint64_t m_failures = 0;
 };
 
-//! @brief UDP socket that sends and receives gossip messages.
-class GossipSocket
+//! @brief Called with each datagram and the address and port of its sender. Returns false if the
+//! datagram is malformed, which is counted.
+using DatagramHandler =
+    std::function<bool(const std::string &address, std::uint16_t port, std::string_view bytes)>;
+
+//! @brief UDP socket.
+class DatagramSocket
 {
 public:
-    GossipSocket(boost::asio::io_context &context, GossipHandler handler);
-    ~GossipSocket();
-    GossipSocket(const GossipSocket &) = delete;
-    GossipSocket &operator=(const GossipSocket &) = delete;
+    DatagramSocket(boost::asio::io_context &context, DatagramHandler handler);
+    ~DatagramSocket();
+    DatagramSocket(const DatagramSocket &) = delete;
+    DatagramSocket &operator=(const DatagramSocket &) = delete;
 
     //! @brief Binds the socket and starts to receive; port 0 selects a free port.
     //! @return the bound port, or 0 with a message in error.
     std::uint16_t open(const std::string &address, std::uint16_t port, std::string &error);
 
     //! @brief Sends a datagram without waiting; a failure is only counted in the statistics.
-    void send(const std::string &address, std::uint16_t port, const GossipMessage &message);
+    //! @return false if it could not be sent.
+    bool send(const std::string &address, std::uint16_t port, std::string_view bytes);
 
     void close();
 
@@ -60,6 +62,26 @@
     std::shared_ptr<State> m_state;
 };
 
+//! @brief Called with each valid gossip message and the address and port of its sender.
+using GossipHandler =
+    std::function<void(const std::string &address, std::uint16_t port, const GossipMessage &)>;
+
+//! @brief UDP socket that sends and receives gossip messages; see DatagramSocket.
+class GossipSocket
+{
+public:
+    GossipSocket(boost::asio::io_context &context, GossipHandler handler);
+
+    std::uint16_t open(const std::string &address, std::uint16_t port, std::string &error);
+    void send(const std::string &address, std::uint16_t port, const GossipMessage &message);
+    void close();
+
+    const PeerStatistics &statistics() const noexcept;
+
+private:
+    DatagramSocket m_socket;
+};
+
 //! @brief Sends the reply to a request; must be called at most once.
 using PeerResponder = std::function<void(const PeerReply &)>;
 
--- a/libs/peer/src/udp.cpp
+++ b/libs/peer/src/udp.cpp
@@ -17,12 +17,12 @@
 
 } // namespace
 
-struct GossipSocket::State
+struct DatagramSocket::State
 {
     explicit State(asio::io_context &context) : m_socket(context) { }
 
     udp::socket m_socket;
-    GossipHandler m_handler;
+    DatagramHandler m_handler;
     udp::endpoint m_senderEndpoint;
     std::array<char, receiveBufferBytes> m_receiveBuffer{};
     PeerStatistics m_statistics;
@@ -31,7 +31,7 @@
     void handleDatagram(std::size_t bytes);
 };
 
-void GossipSocket::State::receiveNext(const std::shared_ptr<State> &state)
+void DatagramSocket::State::receiveNext(const std::shared_ptr<State> &state)
 {
     state->m_socket.async_receive_from(asio::buffer(state->m_receiveBuffer),
                                        state->m_senderEndpoint,
@@ -48,33 +48,32 @@
                                        });
 }
 
-void GossipSocket::State::handleDatagram(std::size_t bytes)
+void DatagramSocket::State::handleDatagram(std::size_t bytes)
 {
     ++m_statistics.m_received;
     m_statistics.m_receivedBytes += bytes;
-    const Decoded<GossipMessage> message =
-        decodeGossip(std::string_view(m_receiveBuffer.data(), bytes));
-    if (!message) {
-        ++m_statistics.m_malformed;
+    if (!m_handler) {
         return;
     }
-    if (m_handler) {
-        m_handler(m_senderEndpoint.address().to_string(), m_senderEndpoint.port(), message.value());
+    const std::string_view datagram(m_receiveBuffer.data(), bytes);
+    if (!m_handler(m_senderEndpoint.address().to_string(), m_senderEndpoint.port(), datagram)) {
+        ++m_statistics.m_malformed;
     }
 }
 
-GossipSocket::GossipSocket(asio::io_context &context, GossipHandler handler)
+DatagramSocket::DatagramSocket(asio::io_context &context, DatagramHandler handler)
     : m_state(std::make_shared<State>(context))
 {
     m_state->m_handler = std::move(handler);
 }
 
-GossipSocket::~GossipSocket()
+DatagramSocket::~DatagramSocket()
 {
     close();
 }
 
-std::uint16_t GossipSocket::open(const std::string &address, std::uint16_t port, std::string &error)
+std::uint16_t DatagramSocket::open(const std::string &address, std::uint16_t port,
+                                   std::string &error)
 {
     error_code code;
     const asio::ip::address parsed = asio::ip::make_address(address, code);
@@ -97,37 +96,70 @@
     return m_state->m_socket.local_endpoint().port();
 }
 
-void GossipSocket::send(const std::string &address, std::uint16_t port,
-                        const GossipMessage &message)
+bool DatagramSocket::send(const std::string &address, std::uint16_t port, std::string_view bytes)
 {
     error_code error;
     const asio::ip::address parsed = asio::ip::make_address(address, error);
     if (error || !m_state->m_socket.is_open()) {
         ++m_state->m_statistics.m_failures;
-        return;
+        return false;
     }
-    const std::string bytes = encodeGossip(message);
     // The socket is non-blocking: if the send buffer is full, the datagram is dropped and counted
     // as a failure.
-    m_state->m_socket.send_to(asio::buffer(bytes), udp::endpoint(parsed, port), 0, error);
+    m_state->m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), udp::endpoint(parsed, port),
+                              0, error);
     if (error) {
         ++m_state->m_statistics.m_failures;
-        return;
+        return false;
     }
     ++m_state->m_statistics.m_sent;
     m_state->m_statistics.m_sentBytes += bytes.size();
+    return true;
 }
 
-void GossipSocket::close()
+void DatagramSocket::close()
 {
     error_code ignored;
     m_state->m_socket.close(ignored);
     m_state->m_handler = nullptr;
 }
 
-const PeerStatistics &GossipSocket::statistics() const noexcept
+const PeerStatistics &DatagramSocket::statistics() const noexcept
 {
     return m_state->m_statistics;
 }
 
+GossipSocket::GossipSocket(asio::io_context &context, GossipHandler handler)
+    : m_socket(context, [handler = std::move(handler)](const std::string &address,
+                                                       std::uint16_t port, std::string_view bytes) {
+          const Decoded<GossipMessage> message = decodeGossip(bytes);
+          if (message && handler) {
+              handler(address, port, message.value());
+          }
+          return message.has_value();
+      })
+{
+}
+
+std::uint16_t GossipSocket::open(const std::string &address, std::uint16_t port, std::string &error)
+{
+    return m_socket.open(address, port, error);
+}
+
+void GossipSocket::send(const std::string &address, std::uint16_t port,
+                        const GossipMessage &message)
+{
+    m_socket.send(address, port, encodeGossip(message));
+}
+
+void GossipSocket::close()
+{
+    m_socket.close();
+}
+
+const PeerStatistics &GossipSocket::statistics() const noexcept
+{
+    return m_socket.statistics();
+}
+
 } // namespace arbutusgrade
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -6,9 +6,11 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "base/base.h"
 #include "membership/membership.h"
+#include "quota/quota.h"
 
 //! @brief Encoding of the messages between nodes: Thrift compact protocol, and frames for TCP.
 //!
@@ -21,7 +23,17 @@
 
 inline constexpr std::size_t frameHeaderBytes = 4;
 
-enum class WireError { Malformed, TooLarge };
+//! @brief Largest datagram on the link between gateway nodes; one of this size is not fragmented.
+inline constexpr std::size_t quotaLimitBytes = 1'200;
+
+//! @brief Version of the datagrams on the link between gateway nodes, their first byte.
+inline constexpr std::uint8_t quotaFormatVersion = 1;
+
+enum class WireError {
+    Malformed,
+    TooLarge,
+    OtherVersion, //!< Sent by a node of another release.
+};
 
 std::string_view wireErrorName(WireError error) noexcept;
 
@@ -68,6 +80,17 @@
 std::string encodeReply(const PeerReply &reply);
 Decoded<PeerReply> decodeReply(std::string_view bytes);
 
+//! @brief A report or a reply with the name of the node that sent it.
+struct QuotaMessage
+{
+    std::string m_sender;
+    std::variant<QuotaReport, QuotaReply> m_content;
+};
+
+std::string encodeQuota(std::string_view sender, const QuotaReport &report);
+std::string encodeQuota(std::string_view sender, const QuotaReply &reply);
+Decoded<QuotaMessage> decodeQuota(std::string_view bytes);
+
 //! @brief Header of a frame: the length of its body, big-endian.
 std::array<std::uint8_t, frameHeaderBytes> encodeFrameHeader(std::uint32_t length) noexcept;
 
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -93,3 +93,50 @@
     1: i64 id,
     2: optional StateReply state,
 }
+
+// Tokens of one organisation at a node, cumulative since the start of the session.
+struct QuotaUse {
+    1: i64 organisation,
+    2: i64 consumed,
+    3: i64 returned,
+    4: i32 wanted,
+    5: i32 pending,
+}
+
+struct QuotaReport {
+    1: i64 nodeSession,
+    2: i64 coordinatorSession,
+    3: i64 sentAtMicroseconds,
+    4: i64 coordinatorTimeMicroseconds,
+    5: i32 partition,
+    6: i32 partitions,
+    7: i32 nodes,
+    8: list<QuotaUse> uses,
+}
+
+struct QuotaGrant {
+    1: i64 organisation,
+    2: i64 granted,
+    3: i32 retryAfterMilliseconds,
+    4: bool exhausted,
+    5: bool recalled,
+}
+
+struct QuotaReply {
+    1: i64 nodeSession,
+    2: i64 coordinatorSession,
+    3: i64 reportSentAtMicroseconds,
+    4: i64 coordinatorTimeMicroseconds,
+    5: i32 partition,
+    6: i32 partitions,
+    7: bool renews,
+    8: list<QuotaGrant> grants,
+}
+
+// A UDP datagram on the link between gateway nodes, after a byte with the version of the format.
+// One of the optional fields is set.
+struct QuotaDatagram {
+    1: string sender,
+    2: optional QuotaReport report,
+    3: optional QuotaReply reply,
+}
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -19,6 +19,12 @@
 constexpr std::size_t elementLimit = 20'000;
 constexpr std::size_t nameLimitBytes = 255;
 
+//! Latest time in a quota message, 100 years, so that no calculation with it overflows.
+constexpr std::int64_t timeLimitMicroseconds = 100LL * 365 * 24 * 3600 * 1'000'000;
+
+//! Far above what any cluster needs; see docs/design/shared-limits.md.
+constexpr std::int32_t partitionLimit = 1'024;
+
 template <typename Message> std::string encode(const Message &message)
 {
     const std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
@@ -176,6 +182,55 @@
     return true;
 }
 
+std::int32_t clampedOf(std::uint32_t value) noexcept
+{
+    constexpr std::uint32_t limit = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::int32_t>(std::min(value, limit));
+}
+
+wire::QuotaUse toWire(const QuotaUse &use)
+{
+    wire::QuotaUse encoded;
+    encoded.__set_organisation(signedOf(use.m_organisation));
+    encoded.__set_consumed(signedOf(use.m_consumed));
+    encoded.__set_returned(signedOf(use.m_returned));
+    encoded.__set_wanted(clampedOf(use.m_wanted));
+    encoded.__set_pending(clampedOf(use.m_pending));
+    return encoded;
+}
+
+wire::QuotaGrant toWire(const QuotaGrant &grant)
+{
+    wire::QuotaGrant encoded;
+    encoded.__set_organisation(signedOf(grant.m_organisation));
+    encoded.__set_granted(signedOf(grant.m_granted));
+    encoded.__set_retryAfterMilliseconds(clampedOf(grant.m_retryAfterMilliseconds));
+    encoded.__set_exhausted(grant.m_exhausted);
+    encoded.__set_recalled(grant.m_recalled);
+    return encoded;
+}
+
+bool fromWire(const wire::QuotaUse &encoded, QuotaUse &use)
+{
+    use.m_organisation = unsignedOf(encoded.organisation);
+    use.m_consumed = unsignedOf(encoded.consumed);
+    use.m_returned = unsignedOf(encoded.returned);
+    use.m_wanted = static_cast<std::uint32_t>(encoded.wanted);
+    use.m_pending = static_cast<std::uint32_t>(encoded.pending);
+    return encoded.consumed >= 0 && encoded.returned >= 0 && encoded.wanted >= 0
+           && encoded.pending >= 0;
+}
+
+bool fromWire(const wire::QuotaGrant &encoded, QuotaGrant &grant)
+{
+    grant.m_organisation = unsignedOf(encoded.organisation);
+    grant.m_granted = unsignedOf(encoded.granted);
+    grant.m_retryAfterMilliseconds = static_cast<std::uint32_t>(encoded.retryAfterMilliseconds);
+    grant.m_exhausted = encoded.exhausted;
+    grant.m_recalled = encoded.recalled;
+    return encoded.granted >= 0 && encoded.retryAfterMilliseconds >= 0;
+}
+
 template <typename Encoded, typename Update>
 void allToWire(const std::vector<Update> &updates, std::vector<Encoded> &encoded)
 {
@@ -225,6 +280,82 @@
            && allFromWire(encoded.quarantines, reply.m_state.m_quarantines);
 }
 
+bool isTime(std::int64_t microseconds) noexcept
+{
+    return microseconds >= 0 && microseconds <= timeLimitMicroseconds;
+}
+
+bool isPartition(std::int32_t partition, std::int32_t partitions) noexcept
+{
+    return partition >= 0 && partition < partitions && partitions <= partitionLimit;
+}
+
+wire::QuotaDatagram datagramOf(const QuotaReport &report)
+{
+    wire::QuotaReport encoded;
+    encoded.__set_nodeSession(signedOf(report.m_nodeSession));
+    encoded.__set_coordinatorSession(signedOf(report.m_coordinatorSession));
+    encoded.__set_sentAtMicroseconds(report.m_sentAt);
+    encoded.__set_coordinatorTimeMicroseconds(report.m_coordinatorTime);
+    encoded.__set_partition(clampedOf(report.m_partition));
+    encoded.__set_partitions(clampedOf(report.m_partitions));
+    encoded.__set_nodes(clampedOf(report.m_nodes));
+    allToWire(report.m_uses, encoded.uses);
+    wire::QuotaDatagram datagram;
+    datagram.__set_report(encoded);
+    return datagram;
+}
+
+wire::QuotaDatagram datagramOf(const QuotaReply &reply)
+{
+    wire::QuotaReply encoded;
+    encoded.__set_nodeSession(signedOf(reply.m_nodeSession));
+    encoded.__set_coordinatorSession(signedOf(reply.m_coordinatorSession));
+    encoded.__set_reportSentAtMicroseconds(reply.m_reportSentAt);
+    encoded.__set_coordinatorTimeMicroseconds(reply.m_coordinatorTime);
+    encoded.__set_partition(clampedOf(reply.m_partition));
+    encoded.__set_partitions(clampedOf(reply.m_partitions));
+    encoded.__set_renews(reply.m_renews);
+    allToWire(reply.m_grants, encoded.grants);
+    wire::QuotaDatagram datagram;
+    datagram.__set_reply(encoded);
+    return datagram;
+}
+
+bool fromWire(const wire::QuotaReport &encoded, QuotaReport &report)
+{
+    report.m_nodeSession = unsignedOf(encoded.nodeSession);
+    report.m_coordinatorSession = unsignedOf(encoded.coordinatorSession);
+    report.m_sentAt = encoded.sentAtMicroseconds;
+    report.m_coordinatorTime = encoded.coordinatorTimeMicroseconds;
+    report.m_partition = static_cast<std::uint32_t>(encoded.partition);
+    report.m_partitions = static_cast<std::uint32_t>(encoded.partitions);
+    report.m_nodes = static_cast<std::uint32_t>(encoded.nodes);
+    return isTime(encoded.sentAtMicroseconds) && isTime(encoded.coordinatorTimeMicroseconds)
+           && isPartition(encoded.partition, encoded.partitions) && encoded.nodes >= 0
+           && allFromWire(encoded.uses, report.m_uses);
+}
+
+bool fromWire(const wire::QuotaReply &encoded, QuotaReply &reply)
+{
+    reply.m_nodeSession = unsignedOf(encoded.nodeSession);
+    reply.m_coordinatorSession = unsignedOf(encoded.coordinatorSession);
+    reply.m_reportSentAt = encoded.reportSentAtMicroseconds;
+    reply.m_coordinatorTime = encoded.coordinatorTimeMicroseconds;
+    reply.m_partition = static_cast<std::uint32_t>(encoded.partition);
+    reply.m_partitions = static_cast<std::uint32_t>(encoded.partitions);
+    reply.m_renews = encoded.renews;
+    return isTime(encoded.reportSentAtMicroseconds) && isTime(encoded.coordinatorTimeMicroseconds)
+           && isPartition(encoded.partition, encoded.partitions)
+           && allFromWire(encoded.grants, reply.m_grants);
+}
+
+std::string encodeDatagram(std::string_view sender, wire::QuotaDatagram datagram)
+{
+    datagram.__set_sender(std::string(sender));
+    return std::string(1, static_cast<char>(quotaFormatVersion)) + encode(datagram);
+}
+
 } // namespace
 
 std::string_view wireErrorName(WireError error) noexcept
@@ -234,6 +365,8 @@
         return "malformed message";
     case WireError::TooLarge:
         return "message too large";
+    case WireError::OtherVersion:
+        return "message of another version";
     }
     return "unknown";
 }
@@ -348,6 +481,49 @@
     return reply;
 }
 
+std::string encodeQuota(std::string_view sender, const QuotaReport &report)
+{
+    return encodeDatagram(sender, datagramOf(report));
+}
+
+std::string encodeQuota(std::string_view sender, const QuotaReply &reply)
+{
+    return encodeDatagram(sender, datagramOf(reply));
+}
+
+Decoded<QuotaMessage> decodeQuota(std::string_view bytes)
+{
+    if (bytes.size() > quotaLimitBytes) {
+        return WireError::TooLarge;
+    }
+    if (bytes.empty()) {
+        return WireError::Malformed;
+    }
+    if (static_cast<std::uint8_t>(bytes.front()) != quotaFormatVersion) {
+        return WireError::OtherVersion;
+    }
+    const Decoded<wire::QuotaDatagram> decoded = decode<wire::QuotaDatagram>(bytes.substr(1));
+    if (!decoded) {
+        return decoded.error();
+    }
+    const wire::QuotaDatagram &encoded = decoded.value();
+    if (!isName(encoded.sender) || encoded.__isset.report == encoded.__isset.reply) {
+        return WireError::Malformed;
+    }
+    QuotaMessage message;
+    message.m_sender = encoded.sender;
+    bool isValid = false;
+    if (encoded.__isset.report) {
+        isValid = fromWire(encoded.report, message.m_content.emplace<QuotaReport>());
+    } else {
+        isValid = fromWire(encoded.reply, message.m_content.emplace<QuotaReply>());
+    }
+    if (!isValid) {
+        return WireError::Malformed;
+    }
+    return message;
+}
+
 std::array<std::uint8_t, frameHeaderBytes> encodeFrameHeader(std::uint32_t length) noexcept
 {
     return {static_cast<std::uint8_t>(length >> 24U), static_cast<std::uint8_t>(length >> 16U),
--- a/libs/wire/tests/wiretest.cpp
+++ b/libs/wire/tests/wiretest.cpp
@@ -1,5 +1,7 @@
 #include "wire/wire.h"
 
+#include <limits>
+
 #include <gtest/gtest.h>
 
 namespace arbutusgrade {
@@ -164,5 +166,86 @@
     }
 }
 
+QuotaReport fullReport(std::size_t organisations)
+{
+    QuotaReport report{~std::uint64_t{0}, 7, 1'000'000, 2'000'000, 1, 3, 68, {}};
+    for (std::size_t index = 0; index < organisations; ++index) {
+        report.m_uses.push_back({~std::uint64_t{0} - index, index, 1, 2, 3});
+    }
+    return report;
+}
+
+// Guards against a field that is lost or changed between two nodes.
+TEST(Wire, QuotaMessagesSurviveTheWire)
+{
+    const std::string bytes = encodeQuota("n1", fullReport(2));
+    const QuotaMessage message = decodeQuota(bytes).value();
+    EXPECT_EQ(message.m_sender, "n1");
+    const QuotaReport &report = std::get<QuotaReport>(message.m_content);
+    EXPECT_EQ(report.m_coordinatorTime, 2'000'000);
+    EXPECT_EQ(report.m_nodes, 68U);
+    EXPECT_EQ(report.m_uses.at(1).m_pending, 3U);
+    EXPECT_EQ(encodeQuota("n1", report), bytes);
+    const QuotaReply reply{1, ~std::uint64_t{0}, 3, 4, 0, 2, false, {{5, 6, 700, true, true}}};
+    const QuotaMessage gotReply = decodeQuota(encodeQuota("n2", reply)).value();
+    const QuotaReply &got = std::get<QuotaReply>(gotReply.m_content);
+    EXPECT_EQ(got.m_coordinatorSession, reply.m_coordinatorSession);
+    EXPECT_EQ(got.m_reportSentAt, 3);
+    EXPECT_FALSE(got.m_renews);
+    EXPECT_EQ(got.m_grants.at(0).m_retryAfterMilliseconds, 700U);
+    EXPECT_TRUE(got.m_grants[0].m_exhausted);
+    EXPECT_TRUE(got.m_grants[0].m_recalled);
+}
+
+// Guards against the largest messages of the limiter (24 organisations in a report, 32 in a reply)
+// that exceed a datagram after a long run.
+TEST(Wire, TheLargestQuotaMessagesFitADatagram)
+{
+    QuotaReport report = fullReport(24);
+    QuotaReply reply{~std::uint64_t{0}, 1, 3, 4, 0, 2, true, {}};
+    for (QuotaUse &use : report.m_uses) {
+        use.m_consumed = 10'000'000'000;
+        use.m_returned = 10'000'000'000;
+        use.m_wanted = 1'000'000;
+        use.m_pending = 1'024;
+    }
+    for (std::uint64_t index = 0; index < 32; ++index) {
+        reply.m_grants.push_back({~index, 10'000'000'000, 60'000, true, true});
+    }
+    const std::string sender(63, 'n');
+    EXPECT_LE(encodeQuota(sender, report).size(), quotaLimitBytes);
+    EXPECT_LE(encodeQuota(sender, reply).size(), quotaLimitBytes);
+}
+
+// Guards against a crash on malformed input, and against values that overflow in the limiter.
+TEST(Wire, MalformedQuotaMessagesAreRefused)
+{
+    const std::string valid = encodeQuota("n1", fullReport(20));
+    for (std::size_t length = 0; length < valid.size(); ++length) {
+        EXPECT_FALSE(decodeQuota(std::string_view(valid).substr(0, length))) << length;
+    }
+    std::string changed = valid;
+    changed[0] = 2;
+    EXPECT_EQ(decodeQuota(changed).error(), WireError::OtherVersion);
+    EXPECT_EQ(decodeQuota(valid + std::string(quotaLimitBytes, ' ')).error(), WireError::TooLarge);
+    RandomGenerator random{21};
+    for (int round = 0; round < 20'000; ++round) {
+        changed = valid;
+        changed[1 + nextRandomBelow(random, changed.size() - 1)] =
+            static_cast<char>(nextRandomBelow(random, 256));
+        const Decoded<QuotaMessage> decoded = decodeQuota(changed);
+        EXPECT_TRUE(!decoded || !decoded.value().m_sender.empty());
+    }
+    for (const std::int64_t time : {std::int64_t{-1}, std::numeric_limits<std::int64_t>::max()}) {
+        QuotaReport report = fullReport(0);
+        report.m_coordinatorTime = time;
+        EXPECT_FALSE(decodeQuota(encodeQuota("n1", report)));
+    }
+    QuotaReport report = fullReport(0);
+    report.m_partitions = report.m_partition;
+    EXPECT_FALSE(decodeQuota(encodeQuota("n1", report)));
+    EXPECT_FALSE(decodeQuota(encodeQuota("", fullReport(0))));
+}
+
 } // namespace
 } // namespace arbutusgrade
