Register nodes with the address of their link

Cause: nodes that share quotas must know each other's addresses and weights.

Change: with link settings, the value of a registration is a JSON object with name, data centre, address, port and weight; otherwise it stays the name. A value that is invalid counts as a node without a link.

--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -15,12 +19,15 @@
 //! @brief Registers this node in the store under a lease and counts the registered nodes.
 //!
 //! The nodes divide the limits at the targets by this count. A decrease takes effect with a delay,
-//! since a node may still be running after its registration has expired.
+//! since a node may still be running after its registration has expired. For the same reason the
+//! links of nodes are kept for a while.
 class Membership : public std::enable_shared_from_this<Membership>
 {
 public:
+    //! @param self registered with its link; without it, only the name is registered.
     Membership(boost::asio::io_context &context, MetadataStore &store, std::string prefix,
-               std::string node, std::chrono::milliseconds minimumLease);
+               std::string node, std::chrono::milliseconds minimumLease,
+               const std::optional<RegisteredNode> &self = std::nullopt);
 
     void start();
     void stop();
@@ -33,12 +40,35 @@
     //! @brief Number of nodes that share the limits, including recently expired ones.
     int nodeCount(TimePoint now);
 
+    //! @brief Number of nodes that are registered, including recently expired ones. Unlike
+    //! nodeCount(), without an assumption while the registrations have not been read.
+    int registeredCount(TimePoint now);
+
+    //! @brief Nodes that are registered with a link, including recently expired ones, sorted by
+    //! name. Those that have expired are dropped by nodeCount().
+    std::vector<RegisteredNode> linkedNodes() const;
+
+    //! @brief True if this node's registration was in the registrations read last.
+    bool isRegistered() const
+    {
+        return m_registeredKeys.contains(m_ownKey);
+    }
+
+    //! @brief Number that increases whenever linkedNodes() or isRegistered() may have changed.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
 private:
     void createLease();
     void writeRegistration();
     void renewLease();
     void scheduleRenewal(std::chrono::milliseconds delay);
     void retainCount(std::size_t nodes);
+    void applyRegistration(const MetadataItem &item);
+    void removeRegistration(const std::string &key);
+    void dropExpiredLinks(TimePoint now);
 
     struct RetainedCount
     {
@@ -46,15 +76,24 @@
         int m_nodes = 0;
     };
 
+    struct LinkedNode
+    {
+        RegisteredNode m_node;
+        TimePoint m_expires = farFuture; //!< Set when its registration has ended.
+    };
+
     MetadataStore &m_store;
     std::string m_prefix;
     std::string m_ownKey;
-    std::string m_node;
+    std::string m_registration; //!< Value of this node's key.
     std::chrono::milliseconds m_timeToLive;
     boost::asio::steady_timer m_timer;
     std::string m_leaseId;
     std::set<std::string> m_registeredKeys;
     std::deque<RetainedCount> m_retainedCounts; //!< Earlier, higher counts; greatest first.
+    TimePoint m_initialCountExpires; //!< Until then, the count is not below an assumed one.
+    std::map<std::string, LinkedNode> m_linkedNodes; //!< By key.
+    std::uint64_t m_revision = 0;
     bool m_stopped = false;
 };
 
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -1,6 +1,9 @@
 #include "details/membership.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "details/registration.h"
 
 namespace arbutusgrade {
 
@@ -21,16 +24,17 @@
 } // namespace
 
 Membership::Membership(boost::asio::io_context &context, MetadataStore &store, std::string prefix,
-                       std::string node, std::chrono::milliseconds minimumLease)
+                       std::string node, std::chrono::milliseconds minimumLease,
+                       const std::optional<RegisteredNode> &self)
     : m_store(store), m_prefix(std::move(prefix)), m_ownKey(m_prefix + node),
-      m_node(std::move(node)), m_timeToLive(std::max(leaseTimeToLive, minimumLease)),
-      m_timer(context)
+      m_registration(self ? encodeRegistration(*self) : std::move(node)),
+      m_timeToLive(std::max(leaseTimeToLive, minimumLease)), m_timer(context)
 {
 }
 
 void Membership::start()
 {
-    m_retainedCounts.push_back(RetainedCount{bootTimeNow() + countRetention, initialNodeCount});
+    m_initialCountExpires = bootTimeNow() + countRetention;
     createLease();
 }
 
@@ -41,6 +45,13 @@
 }
 
 int Membership::nodeCount(TimePoint now)
+{
+    dropExpiredLinks(now);
+    const int count = registeredCount(now);
+    return now < m_initialCountExpires ? std::max(count, initialNodeCount) : count;
+}
+
+int Membership::registeredCount(TimePoint now)
 {
     while (!m_retainedCounts.empty() && now >= m_retainedCounts.front().m_expires) {
         m_retainedCounts.pop_front();
@@ -69,16 +80,18 @@
 
 void Membership::writeRegistration()
 {
-    m_store.write(m_ownKey, m_node, m_leaseId, [weak = weak_from_this()](MetadataStatus status) {
-        const std::shared_ptr<Membership> self = weak.lock();
-        if (!self || self->m_stopped) {
-            return;
-        }
-        if (status != MetadataStatus::Ok) {
-            self->m_leaseId.clear();
-        }
-        self->scheduleRenewal(status == MetadataStatus::Ok ? leaseRenewInterval : retryInterval);
-    });
+    m_store.write(m_ownKey, m_registration, m_leaseId,
+                  [weak = weak_from_this()](MetadataStatus status) {
+                      const std::shared_ptr<Membership> self = weak.lock();
+                      if (!self || self->m_stopped) {
+                          return;
+                      }
+                      if (status != MetadataStatus::Ok) {
+                          self->m_leaseId.clear();
+                      }
+                      self->scheduleRenewal(status == MetadataStatus::Ok ? leaseRenewInterval
+                                                                         : retryInterval);
+                  });
 }
 
 void Membership::renewLease()
@@ -114,10 +127,15 @@
 void Membership::applySnapshot(const std::vector<MetadataItem> &items)
 {
     const std::size_t previousCount = m_registeredKeys.size();
-    m_registeredKeys.clear();
+    const std::set<std::string> previousKeys = std::exchange(m_registeredKeys, {});
     for (const MetadataItem &item : items) {
         if (item.m_key.starts_with(m_prefix)) {
-            m_registeredKeys.insert(item.m_key);
+            applyRegistration(item);
+        }
+    }
+    for (const std::string &key : previousKeys) {
+        if (!m_registeredKeys.contains(key)) {
+            removeRegistration(key);
         }
     }
     if (m_registeredKeys.size() < previousCount) {
@@ -135,10 +153,10 @@
             continue;
         }
         if (!event.m_removed) {
-            m_registeredKeys.insert(key);
+            applyRegistration(event.m_item);
             continue;
         }
-        m_registeredKeys.erase(key);
+        removeRegistration(key);
         ownKeyLost = ownKeyLost || key == m_ownKey;
     }
     if (m_registeredKeys.size() < previousCount) {
@@ -150,6 +168,50 @@
     }
 }
 
+void Membership::applyRegistration(const MetadataItem &item)
+{
+    ++m_revision;
+    m_registeredKeys.insert(item.m_key);
+    const std::string_view name = std::string_view(item.m_key).substr(m_prefix.size());
+    const std::optional<RegisteredNode> node = decodeRegistration(name, item.m_value);
+    if (node) {
+        m_linkedNodes[item.m_key] = LinkedNode{*node, farFuture};
+    } else {
+        m_linkedNodes.erase(item.m_key);
+    }
+}
+
+void Membership::removeRegistration(const std::string &key)
+{
+    ++m_revision;
+    m_registeredKeys.erase(key);
+    const std::map<std::string, LinkedNode>::iterator found = m_linkedNodes.find(key);
+    if (found != m_linkedNodes.end()) {
+        found->second.m_expires = std::min(found->second.m_expires, bootTimeNow() + countRetention);
+    }
+}
+
+std::vector<RegisteredNode> Membership::linkedNodes() const
+{
+    std::vector<RegisteredNode> nodes;
+    nodes.reserve(m_linkedNodes.size());
+    for (const std::pair<const std::string, LinkedNode> &entry : m_linkedNodes) {
+        nodes.push_back(entry.second.m_node);
+    }
+    return nodes;
+}
+
+void Membership::dropExpiredLinks(TimePoint now)
+{
+    const std::size_t dropped =
+        std::erase_if(m_linkedNodes, [now](const std::pair<const std::string, LinkedNode> &entry) {
+            return now >= entry.second.m_expires;
+        });
+    if (dropped > 0) {
+        ++m_revision;
+    }
+}
+
 void Membership::retainCount(std::size_t nodes)
 {
     const RetainedCount retained{bootTimeNow() + countRetention, static_cast<int>(nodes)};
--- a/libs/gatewaynode/tests/membershiptest.cpp
+++ b/libs/gatewaynode/tests/membershiptest.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "details/membership.h"
+#include "details/registration.h"
 #include "fakestore.h"
 
 namespace arbutusgrade {
@@ -55,4 +56,54 @@
     EXPECT_EQ(store.m_createdLeases, 2);
 }
 
+// Guards against a node that others cannot reach, or that is chosen for a role although its
+// registration is invalid or from an earlier release.
+TEST(Membership, ReadsTheLinksOfValidRegistrations)
+{
+    const RegisteredNode node{"n0", "a", {"10.0.0.1", 7000, 0.25}};
+    const std::string valid = encodeRegistration(node);
+    const std::optional<RegisteredNode> decoded = decodeRegistration("n0", valid);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(encodeRegistration(*decoded), valid);
+    EXPECT_FALSE(decodeRegistration("n1", valid));
+    for (const std::string_view value :
+         {"n0", "", "{", "[]", "{}",
+          R"({"name":"n0","dataCentre":"a","address":"10.0.0","port":7000,"weight":1})",
+          R"({"name":"n0","dataCentre":"a","address":"0.0.0.0","port":7000,"weight":1})",
+          R"({"name":"n0","dataCentre":"a","address":"10.0.0.1","port":0,"weight":1})",
+          R"({"name":"n0","dataCentre":"a","address":"10.0.0.1","port":65536,"weight":1})",
+          R"({"name":"n0","dataCentre":"a","address":"10.0.0.1","port":7000,"weight":0})",
+          R"({"name":"n0","dataCentre":"a","address":"10.0.0.1","port":7000,"weight":"1"})"}) {
+        EXPECT_FALSE(decodeRegistration("n0", value)) << value;
+    }
+    EXPECT_FALSE(decodeRegistration("n0", valid + std::string(2'000, ' ')));
+}
+
+// Guards against links that are lost when registrations lapse while their nodes still run, and
+// against a count that the assumption for the start makes too high.
+TEST(Membership, KeepsLinksForAWhileAfterTheirRegistration)
+{
+    boost::asio::io_context context;
+    FakeStore store;
+    const RegisteredNode self{"n0", "a", {"10.0.0.1", 7000, 1.0}};
+    const std::shared_ptr<Membership> membership =
+        std::make_shared<Membership>(context, store, "own/nodes/", "n0", 1s, self);
+    membership->start();
+    EXPECT_FALSE(membership->isRegistered());
+    EXPECT_EQ(store.m_items["own/nodes/n0"], encodeRegistration(self));
+    const RegisteredNode other{"n1", "b", {"10.0.0.2", 7000, 1.0}};
+    membership->applySnapshot({{"own/nodes/n0", encodeRegistration(self), 1},
+                               {"own/nodes/n1", encodeRegistration(other), 1},
+                               {"own/nodes/n2", "n2", 1}});
+    EXPECT_TRUE(membership->isRegistered());
+    EXPECT_EQ(membership->registeredCount(bootTimeNow()), 3);
+    ASSERT_EQ(membership->linkedNodes().size(), 2U);
+    const std::uint64_t revision = membership->revision();
+    membership->applyChanges({MetadataEvent{{"own/nodes/n1", "", 2}, true}});
+    EXPECT_EQ(membership->linkedNodes().size(), 2U);
+    EXPECT_GT(membership->revision(), revision);
+    membership->nodeCount(bootTimeNow() + 60s);
+    EXPECT_EQ(membership->linkedNodes().size(), 1U);
+}
+
 } // namespace arbutusgrade
