Admit requests of organisations by their shared quota

Cause: libs/quota decides on requests, but no node asked it.

Change: QuotaLink exchanges its messages with registered nodes and drops all others, QuotaService owns the limiter, its timer, log lines and metrics, and Admission holds requests that wait for a token and gives the token of a request back that was not run. A request above the quota gets 429, one that cannot be decided on 503, both with Retry-After. The time that a request was held counts towards its times in the engine. Without a link, a tolerance or a limit, no socket is opened and requests take the same path as before.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -452,6 +452,7 @@
     std::string m_organisation;    //!< Name; empty if the caller is not identified.
     std::optional<int> m_priority; //!< Of the organisation; overrides the route's.
     std::string m_keyHash;         //!< Start of the hash of the API key, for logs.
+    Duration m_timeHeld{0};        //!< Between its arrival and its submission.
 };
 
 using ForwardRequestPointer = std::shared_ptr<const ForwardRequest>;
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -185,7 +185,7 @@
     pending.m_routingTable = routingTableOf(*request);
     pending.m_route = &route;
     pending.m_routeLatency = &routeLatency(route);
-    pending.m_arrivedAt = now;
+    pending.m_arrivedAt = now - request->m_timeHeld;
     const Duration timeLeft = request->m_timeLeft.value_or(route.m_timeout);
     Duration elapsedBefore =
         std::max(Duration::zero(), pending.m_routeLatency->m_maximumTimeLeft - timeLeft);
@@ -196,10 +196,10 @@
     }
     const AnswerSchedule schedule =
         scheduleAnswers(route, request->m_callerPath, timeLeft, elapsedBefore);
-    pending.m_ownDeadline = now + schedule.m_deadline;
+    pending.m_ownDeadline = pending.m_arrivedAt + schedule.m_deadline;
     pending.m_deadline = pending.m_ownDeadline;
-    pending.m_refuseAt = now + schedule.m_refusal;
-    pending.m_partialAnswerAt = now + schedule.m_partialAnswer;
+    pending.m_refuseAt = pending.m_arrivedAt + schedule.m_refusal;
+    pending.m_partialAnswerAt = pending.m_arrivedAt + schedule.m_partialAnswer;
     if (route.m_shards.empty()) {
         const std::size_t choice =
             selectWeightedService(route.m_services, m_splitCreditsByRoute[route.m_name]);
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -186,7 +186,8 @@
 {
 public:
     GatewayNode(boost::asio::io_context &context, const GatewaySettings &settings,
-                const DeploymentFormat &format, MetadataStore &store, Log &log);
+                const DeploymentFormat &format, MetadataStore &store, Log &log,
+                const CoordinationSettings &coordination = {});
     ~GatewayNode();
     GatewayNode(const GatewayNode &) = delete;
     GatewayNode &operator=(const GatewayNode &) = delete;
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -7,10 +7,12 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "details/admission.h"
 #include "details/callerrequests.h"
 #include "details/crashpublisher.h"
 #include "details/decisionlog.h"
 #include "details/membership.h"
+#include "details/quotaservice.h"
 #include "details/storesync.h"
 #include "gatewaynode/gatewaynode.h"
 #include "transport/transport.h"
@@ -18,10 +20,12 @@
 namespace arbutusgrade {
 
 struct GatewayNode::Implementation : public ForwardOutput,
+                                     public AdmissionOutput,
                                      public std::enable_shared_from_this<Implementation>
 {
     Implementation(boost::asio::io_context &context, const GatewaySettings &settings,
-                   const DeploymentFormat &format, MetadataStore &store, Log &log);
+                   const DeploymentFormat &format, MetadataStore &store, Log &log,
+                   const CoordinationSettings &coordination);
 
     // ForwardOutput
     void send(const ForwardCommand &command) override;
@@ -31,16 +35,22 @@
     void record(const ForwardDecision &decision) override;
     void publishCrash(const CrashReport &report) override;
 
+    // AdmissionOutput
+    void forward(TimePoint now, const ForwardRequestPointer &request) override;
+    void refuse(const ForwardRequestPointer &request, const QuotaDecision &decision) override;
+
     std::string start();
     std::string listen(HttpServer &server, const std::string &address, std::uint16_t port);
     void submit(const HttpRequest &request, const HttpResponder &responder);
+    void callerDisconnected(std::uint64_t exchange);
     //! @brief Identifies the caller; answers the request and returns false if it is refused.
     bool identifyRequest(const ParsedCallerRequest &parsed);
-    void forwardRequest(TimePoint now, const ForwardRequestPointer &request);
     void recordCallerPath(const HttpRequest &request);
     void attemptEnded(std::uint64_t attempt, ForwardEnd end, const ReplyContent &content);
     void storeStateChanged();
     void updateEngine(TimePoint now);
+    void updateQuotaLimits(TimePoint now);
+    void updateQuotaNodes(TimePoint now);
     void armEngineTimer();
     void tick();
     void checkForSuspension(TimePoint now);
@@ -68,6 +78,11 @@
     std::shared_ptr<CrashPublisher> m_crashPublisher;
     StoreSync m_storeSync;
     DecisionLog m_decisionLog;
+    QuotaService m_quotaService;
+    Admission m_admission;
+    RoutingTablePointer m_quotaTable;                  //!< Whose limits are in force.
+    std::optional<std::uint64_t> m_quotaNodesRevision; //!< Of the registrations that are in force.
+    int m_quotaNodeCount = 0;
     LatencyMetric m_latency;
     LatencyMetric m_callerRoundTrip;
 
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -18,6 +18,8 @@
 // Unacknowledged data closes the connection to a caller after this time.
 constexpr std::chrono::milliseconds callerPeerTimeout{20'000};
 
+constexpr int quotaExceededStatus = 429;
+
 HttpServerOptions callerOptions(const CallerLimits &limits)
 {
     HttpServerOptions options;
@@ -63,6 +65,26 @@
     return {boost::asio::ip::make_address(entry.m_address, ignored), entry.m_port};
 }
 
+//! @brief Returns what this node is registered with; nothing without a link.
+std::optional<RegisteredNode> ownRegistration(const GatewaySettings &settings,
+                                              const CoordinationSettings &coordination)
+{
+    if (!coordination.m_link) {
+        return std::nullopt;
+    }
+    return RegisteredNode{settings.m_node, settings.m_dataCentre, *coordination.m_link};
+}
+
+std::vector<OrganisationLimit> quotaLimits(const RoutingTable &table)
+{
+    std::vector<OrganisationLimit> limits;
+    for (const Organisation &organisation : table.m_organisations) {
+        limits.push_back(OrganisationLimit{
+            organisation.m_name, QuotaLimit{organisation.m_ratePerSecond, organisation.m_burst}});
+    }
+    return limits;
+}
+
 std::string crashPrefix(const DeploymentFormat &format)
 {
     return format.m_writablePrefix + "crashes/";
@@ -90,7 +112,7 @@
 GatewayNode::Implementation::Implementation(boost::asio::io_context &context,
                                             const GatewaySettings &settings,
                                             const DeploymentFormat &format, MetadataStore &store,
-                                            Log &log)
+                                            Log &log, const CoordinationSettings &coordination)
     : m_context(context), m_settings(settings), m_format(format), m_log(log),
       m_engine(engineOptions(settings), bootTimeNow(), *this),
       m_client(context, ForwardClientOptions{}),
@@ -98,12 +120,19 @@
       m_readinessServer(context, HttpServerOptions{}),
       m_metricsServer(context, HttpServerOptions{}),
       m_membership(std::make_shared<Membership>(context, store, format.m_writablePrefix + "nodes/",
-                                                settings.m_node, settings.m_minimumLease)),
+                                                settings.m_node, settings.m_minimumLease,
+                                                ownRegistration(settings, coordination))),
       m_crashPublisher(std::make_shared<CrashPublisher>(context, store, crashPrefix(format),
                                                         settings.m_minimumLease, log)),
       m_storeSync(context, m_format, store, watcherOptions(settings), crashPrefix(format), m_engine,
                   *m_membership, log),
-      m_decisionLog(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
+      m_decisionLog(log),
+      m_quotaService(context, settings.m_node, coordination, log,
+                     [this](TimePoint now, std::uint64_t request, const QuotaDecision &decision) {
+                         m_admission.decided(now, request, decision);
+                     }),
+      m_admission(m_quotaService, *this),
+      m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
       m_callerRoundTrip("arbutusgrade_caller_round_trip_seconds",
                         "Round trip time to callers, for each connection", "source"),
       m_engineTimer(context), m_tickTimer(context), m_shutdownTimer(context),
@@ -116,11 +145,8 @@
     m_callerServer.setFallback([this](const HttpRequest &request, const HttpResponder &responder) {
         submit(request, responder);
     });
-    m_callerServer.setDisconnectHandler([this](std::uint64_t exchange) {
-        m_pendingExchanges.erase(exchange);
-        m_engine.callerDisconnected(bootTimeNow(), exchange);
-        armEngineTimer();
-    });
+    m_callerServer.setDisconnectHandler(
+        [this](std::uint64_t exchange) { callerDisconnected(exchange); });
     m_readinessServer.addRoute(
         "GET", m_format.m_readinessPath,
         [this](const HttpRequest & /*request*/, const HttpResponder &responder) {
@@ -178,7 +204,7 @@
     m_pendingExchanges[request.m_exchange] =
         PendingExchange{responder, now, parsed.m_request->m_requestId};
     if (identifyRequest(parsed)) {
-        forwardRequest(now, parsed.m_request);
+        m_admission.submit(now, parsed.m_request);
     }
     armEngineTimer();
 }
@@ -192,10 +218,36 @@
     return !refusal;
 }
 
-void GatewayNode::Implementation::forwardRequest(TimePoint now,
-                                                 const ForwardRequestPointer &request)
+void GatewayNode::Implementation::forward(TimePoint now, const ForwardRequestPointer &request)
 {
     m_engine.submit(now, request);
+    armEngineTimer();
+}
+
+void GatewayNode::Implementation::refuse(const ForwardRequestPointer &request,
+                                         const QuotaDecision &decision)
+{
+    ForwardRefusal refusal;
+    refusal.m_retryAfter = decision.m_retryAfter;
+    refusal.m_coordinator = decision.m_coordinator;
+    if (decision.m_verdict == QuotaVerdict::Exhausted) {
+        refusal.m_kind = AnswerKind::QuotaExceeded;
+        refusal.m_status = quotaExceededStatus;
+        refusal.m_reason = "quota-exhausted";
+    } else {
+        refusal.m_reason = "quota-undecided";
+    }
+    m_engine.refuse(request, refusal);
+}
+
+void GatewayNode::Implementation::callerDisconnected(std::uint64_t exchange)
+{
+    m_pendingExchanges.erase(exchange);
+    if (m_admission.callerDisconnected(exchange)) {
+        return;
+    }
+    m_engine.callerDisconnected(bootTimeNow(), exchange);
+    armEngineTimer();
 }
 
 void GatewayNode::Implementation::recordCallerPath(const HttpRequest &request)
@@ -259,6 +311,7 @@
 
 void GatewayNode::Implementation::answer(const ForwardAnswer &answer)
 {
+    m_admission.answered(bootTimeNow(), answer.m_caller, answer.m_kind);
     const std::unordered_map<std::uint64_t, PendingExchange>::iterator found =
         m_pendingExchanges.find(answer.m_caller);
     if (found == m_pendingExchanges.end()) {
@@ -297,13 +350,36 @@
     if (m_engine.routing()) {
         m_callerServer.setOptions(callerOptions(m_engine.routing()->m_limits));
     }
-    updateEngine(bootTimeNow());
+    const TimePoint now = bootTimeNow();
+    updateQuotaLimits(now);
+    updateEngine(now);
+}
+
+void GatewayNode::Implementation::updateQuotaLimits(TimePoint now)
+{
+    if (m_engine.routing() == m_quotaTable) {
+        return;
+    }
+    m_quotaTable = m_engine.routing();
+    m_quotaService.setLimits(now, quotaLimits(*m_quotaTable));
+}
+
+void GatewayNode::Implementation::updateQuotaNodes(TimePoint now)
+{
+    const int count = m_membership->registeredCount(now);
+    if (m_quotaNodesRevision == m_membership->revision() && m_quotaNodeCount == count) {
+        return;
+    }
+    m_quotaNodesRevision = m_membership->revision();
+    m_quotaNodeCount = count;
+    m_quotaService.setNodes(now, m_membership->linkedNodes(), count);
 }
 
 void GatewayNode::Implementation::updateEngine(TimePoint now)
 {
     m_engine.setNodeCount(m_membership->nodeCount(now));
     m_engine.registryChanged(now);
+    updateQuotaNodes(now);
     logReadiness();
     armEngineTimer();
 }
@@ -331,6 +407,7 @@
     const TimePoint now = bootTimeNow();
     checkForSuspension(now);
     m_engine.advance(now);
+    m_quotaService.advance(now);
     updateEngine(now);
     m_decisionLog.reportDropped(now);
     m_log.flush();
@@ -373,8 +450,10 @@
 }
 
 GatewayNode::GatewayNode(boost::asio::io_context &context, const GatewaySettings &settings,
-                         const DeploymentFormat &format, MetadataStore &store, Log &log)
-    : m_implementation(std::make_shared<Implementation>(context, settings, format, store, log))
+                         const DeploymentFormat &format, MetadataStore &store, Log &log,
+                         const CoordinationSettings &coordination)
+    : m_implementation(
+        std::make_shared<Implementation>(context, settings, format, store, log, coordination))
 {
 }
 
--- a/libs/gatewaynode/src/lifecycle.cpp
+++ b/libs/gatewaynode/src/lifecycle.cpp
@@ -67,6 +67,7 @@
             return;
         }
         // After a stall of the process the last answers may still be due.
+        m_quotaService.advance(bootTimeNow());
         m_engine.advance(bootTimeNow());
         // A connection that is not closed yet may hold an answer that its caller has not read.
         const bool allClosed = m_callerServer.statistics().m_connections == 0;
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -76,6 +76,11 @@
         addGauge(families, "arbutusgrade_caller_connections", "Connections of callers by state",
                  static_cast<double>(state.second), {{"state", state.first}});
     }
+    if (m_quotaService.isActive()) {
+        addGauge(families, "arbutusgrade_quota_requests_waiting", "Requests that wait for a token",
+                 static_cast<double>(m_admission.waitingRequests()));
+    }
+    m_quotaService.collect(families);
     m_latency.collect(families);
     m_callerRoundTrip.collect(families);
     return families;
