--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -152,9 +152,8 @@
             ++authorizationCount;
             authorization = header.second;
             continue;
-        } else if (hasOrganisations && iequals(header.first, headers.m_organisation)) {
-            continue;
-        } else if (iequals(header.first, headers.m_expectedTarget)
+        } else if ((hasOrganisations && iequals(header.first, headers.m_organisation))
+                   || iequals(header.first, headers.m_expectedTarget)
                    || iequals(header.first, "expect")
                    || isHopByHop(header.first, connectionHeader)) {
             continue;
--- a/libs/gatewaynode/tests/callerrequeststest.cpp
+++ b/libs/gatewaynode/tests/callerrequeststest.cpp
@@ -26,6 +26,36 @@
     return request;
 }
 
+//! @brief Key "k-1" of the organisation "acme"; "/a/" needs a key, "/open/" does not.
+RoutingTablePointer tableWithOrganisations()
+{
+    RoutingTable table;
+    Organisation acme;
+    acme.m_name = "acme";
+    acme.m_priority = 4;
+    addOrganisation(table, acme, std::vector<std::string>{"k-1"});
+    table.m_routes.resize(2);
+    table.m_routes[0].m_host = "h";
+    table.m_routes[0].m_prefix = "/a/";
+    table.m_routes[1] = table.m_routes[0];
+    table.m_routes[1].m_prefix = "/open/";
+    table.m_routes[1].m_anonymousAccess = true;
+    return std::make_shared<const RoutingTable>(table);
+}
+
+//! @brief Parses and authorises a request with a host, an id and the headers.
+ParsedCallerRequest parseFor(const RoutingTablePointer &table, std::string_view path,
+                             HttpHeaders headers, std::optional<ForwardRefusal> &refusal)
+{
+    headers.emplace_back("Host", "h");
+    headers.emplace_back("X-Id", "1");
+    HttpRequest request = makeRequest(headers);
+    request.m_path = path;
+    ParsedCallerRequest parsed = parseCallerRequest(request, testHeaders(), table);
+    refusal = authorizeRequest(parsed, testHeaders());
+    return parsed;
+}
+
 } // namespace
 
 // Guards against forwarding an altered request: a dropped query string, a forwarded hop-by-hop
@@ -123,4 +153,88 @@
     EXPECT_EQ(response.m_headers, (HttpHeaders{{"X-Parts", "r1, r2"}, {"X-Lacks", "1"}}));
 }
 
+// Guards against a key that reaches a target, and against a caller that names the organisation
+// itself, in whatever letter case, number and place.
+TEST(CallerRequests, ReplacesTheKeyByTheOrganisation)
+{
+    const HttpHeaders headers{{"x-org", "forged"},
+                              {"X-ORG", "forged"},
+                              {"AUTHORIZATION", "Token k-1"},
+                              {"X-Org", ""},
+                              {"Connection", "X-Org, Authorization"},
+                              {"X-Organ", "kept"}};
+    std::optional<ForwardRefusal> refusal;
+    const ParsedCallerRequest parsed = parseFor(tableWithOrganisations(), "/a/b", headers, refusal);
+    EXPECT_FALSE(refusal);
+    EXPECT_EQ(parsed.m_request->m_head, "POST /a/b?c=d HTTP/1.1\r\nX-Organ: kept\r\nHost: h\r\n"
+                                        "X-Id: 1\r\nContent-Length: 4\r\nX-Org: acme\r\n");
+    EXPECT_EQ(parsed.m_request->m_organisation, "acme");
+    EXPECT_EQ(parsed.m_request->m_priority, 4);
+}
+
+// Guards against an anonymous route that forwards a forged organisation or an invalid key.
+TEST(CallerRequests, StripsBothHeadersOnAnonymousRoutes)
+{
+    std::optional<ForwardRefusal> refusal;
+    const ParsedCallerRequest invalid =
+        parseFor(tableWithOrganisations(), "/open/b",
+                 {{"x-oRG", "acme"}, {"authorization", "Token wrong"}}, refusal);
+    EXPECT_FALSE(refusal);
+    EXPECT_EQ(invalid.m_request->m_head.find("acme"), std::string::npos);
+    EXPECT_EQ(invalid.m_request->m_head.find("wrong"), std::string::npos);
+    const ParsedCallerRequest valid =
+        parseFor(tableWithOrganisations(), "/open/b", {{"authorization", "Token k-1"}}, refusal);
+    EXPECT_FALSE(refusal);
+    EXPECT_EQ(valid.m_request->m_organisation, "acme");
+    EXPECT_NE(valid.m_request->m_head.find("\r\nX-Org: acme\r\n"), std::string::npos);
+}
+
+// Guards against running a request whose key is not valid, and against a guess which of several
+// keys counts.
+TEST(CallerRequests, RefusesRequestsWithoutExactlyOneValidKey)
+{
+    for (const HttpHeaders &headers :
+         {HttpHeaders{}, HttpHeaders{{"Authorization", "Token k-2"}},
+          HttpHeaders{{"Authorization", "Token k-1"}, {"authorization", "Token k-1"}},
+          HttpHeaders{{"Authorization", "Token k-1"}, {"Authorization", ""}},
+          HttpHeaders{{"X-Org", "acme"}}, HttpHeaders{{"Proxy-Authorization", "Token k-1"}}}) {
+        std::optional<ForwardRefusal> refusal;
+        const ParsedCallerRequest parsed =
+            parseFor(tableWithOrganisations(), "/a/b", headers, refusal);
+        ASSERT_TRUE(refusal);
+        EXPECT_EQ(refusal->m_status, 401);
+        EXPECT_EQ(refusal->m_kind, AnswerKind::Unauthorized);
+        EXPECT_EQ(parsed.m_request->m_organisation, "");
+    }
+}
+
+// Guards against a deployment without organisations whose callers lose their headers, and against a
+// 401 where the engine answers 404 or 503.
+TEST(CallerRequests, LeavesOtherRequestsAsTheyAre)
+{
+    const HttpHeaders headers{{"Authorization", "Basic x"}, {"x-org", "a"}};
+    std::optional<ForwardRefusal> refusal;
+    for (const RoutingTablePointer &table :
+         {RoutingTablePointer(), std::make_shared<const RoutingTable>()}) {
+        const ParsedCallerRequest parsed = parseFor(table, "/a/b", headers, refusal);
+        EXPECT_FALSE(refusal);
+        EXPECT_NE(parsed.m_request->m_head.find("Authorization: Basic x\r\nx-org: a\r\n"),
+                  std::string::npos);
+    }
+    parseFor(tableWithOrganisations(), "/none/b", headers, refusal);
+    EXPECT_FALSE(refusal);
+}
+
+// Guards against a 401 without the challenge that HTTP requires.
+TEST(CallerRequests, NamesTheSchemeWhenAKeyIsNeeded)
+{
+    ForwardAnswer answer;
+    answer.m_kind = AnswerKind::Unauthorized;
+    answer.m_status = 401;
+    answer.m_reason = "key-missing";
+    const HttpResponse response = buildCallerResponse(answer, testHeaders());
+    EXPECT_EQ(response.m_headers, (HttpHeaders{{"WWW-Authenticate", "Token"}}));
+    EXPECT_EQ(response.m_body, R"({"error":"key-missing"})");
+}
+
 } // namespace arbutusgrade
