--- a/libs/quota/include/quota/quota.h
+++ b/libs/quota/include/quota/quota.h
@@ -73,12 +73,12 @@
 struct QuotaGrant
 {
     std::uint64_t m_organisation = 0;
-    std::uint64_t m_granted = 0;                //!< Cumulative since the start of the session.
+    std::uint64_t m_granted = 0; //!< Cumulative since the start of the session.
     //! Until the next token, if one was refused; 0 if the coordinator has too small a share of the
     //! quota to tell whether it is used up.
     std::uint32_t m_retryAfterMilliseconds = 0;
-    bool m_exhausted = false;                   //!< Fewer tokens were granted than wanted.
-    bool m_recalled = false; //!< Unused tokens exceed the capacity and must be returned.
+    bool m_exhausted = false; //!< Fewer tokens were granted than wanted, and none is left.
+    bool m_recalled = false;  //!< Unused tokens exceed the capacity and must be returned.
 };
 
 //! @brief From the coordinator to a node, in answer to each report.
@@ -90,7 +90,8 @@
     std::int64_t m_coordinatorTime = 0;     //!< On the coordinator's clock, in microseconds.
     std::uint32_t m_partition = 0;
     std::uint32_t m_partitions = 1;
-    //! All tokens held are valid until 1,500 ms after m_reportSentAt; otherwise no longer than before.
+    //! All tokens held are valid until 1,500 ms after m_reportSentAt; otherwise no longer than
+    //! before.
     bool m_renews = true;
     std::vector<QuotaGrant> m_grants;
 };
--- a/libs/quota/src/bucket.cpp
+++ b/libs/quota/src/bucket.cpp
@@ -29,8 +29,8 @@
 
 QuotaBasis makeQuotaBasis(const QuotaLimit &limit, const QuotaTolerance &tolerance) noexcept
 {
-    const double window = std::max(std::chrono::duration<double>(tolerance.m_window).count(),
-                                   shortestWindowSeconds);
+    const double window =
+        std::max(std::chrono::duration<double>(tolerance.m_window).count(), shortestWindowSeconds);
     QuotaBasis basis{sanitised(limit.m_ratePerSecond), sanitised(limit.m_burst)};
     const double allowed = basis.m_rate * window + basis.m_burst;
     basis.m_reserve =
--- a/libs/quota/src/coordinator.cpp
+++ b/libs/quota/src/coordinator.cpp
@@ -128,7 +128,7 @@
 {
     const std::int64_t ownTime = now.time_since_epoch().count();
     const bool echoed = report.m_coordinatorSession == coordinator.m_session
-        && report.m_coordinatorTime > 0 && report.m_coordinatorTime <= ownTime;
+                        && report.m_coordinatorTime > 0 && report.m_coordinatorTime <= ownTime;
     const TimePoint leaseUntil =
         echoed ? TimePoint(Duration(report.m_coordinatorTime)) + quotaLease : TimePoint();
     const bool delegates = report.m_nodes > 0 && echoed && leaseUntil > now;
@@ -172,13 +172,19 @@
         std::clamp(milliseconds, shortestRetryMilliseconds, longestRetryMilliseconds));
 }
 
-//! Grants all tokens for waiting requests, and ahead of demand half of what is left, so that nodes
-//! without waiting requests do not take the last tokens.
-std::uint64_t tokensToGrant(const QuotaUse &use, std::uint64_t missing, double level)
+//! Grants all tokens for waiting requests. Ahead of demand, it grants half of what is left, and
+//! only while less than half of the capacity is outstanding: tokens that are idle at some nodes
+//! would otherwise fill the capacity and stop the accrual while requests at other nodes are
+//! refused.
+std::uint64_t tokensToGrant(const QuotaUse &use, std::uint64_t missing,
+                            const OrganisationBucket &entry, double capacity)
 {
-    const std::uint64_t available = static_cast<std::uint64_t>(level + rounding);
+    const std::uint64_t available = static_cast<std::uint64_t>(entry.m_bucket.m_level + rounding);
     const std::uint64_t urgent = std::min({missing, std::uint64_t{use.m_pending}, available});
-    return urgent + std::min(missing - urgent, (available - urgent) / 2);
+    const double room =
+        capacity / 2.0 - static_cast<double>(entry.m_outstanding) - static_cast<double>(urgent);
+    const std::uint64_t ahead = room >= 1.0 ? static_cast<std::uint64_t>(room) : 0;
+    return urgent + std::min({missing - urgent, (available - urgent) / 2, ahead});
 }
 
 TokenAccount &accountOf(DelegatingNode &node, const QuotaUse &use)
@@ -210,7 +216,8 @@
     const std::uint64_t held = outstandingTokens(account);
     const std::uint64_t wanted = std::min<std::uint64_t>(use.m_wanted, greatestWanted);
     const std::uint64_t missing = wanted - std::min(wanted, held);
-    const std::uint64_t granted = tokensToGrant(use, missing, entry.m_bucket.m_level);
+    const std::uint64_t granted =
+        tokensToGrant(use, missing, entry, capacityOf(coordinator, entry));
     entry.m_bucket.m_level -= static_cast<double>(granted);
     entry.m_outstanding += granted;
     account.m_granted += granted;
@@ -220,12 +227,13 @@
     QuotaGrant &grant = reply.m_grants.emplace_back();
     grant.m_organisation = use.m_organisation;
     grant.m_granted = account.m_granted;
-    grant.m_exhausted = granted < missing;
+    const std::uint64_t urgent = std::min<std::uint64_t>(missing, use.m_pending);
+    grant.m_exhausted = granted < urgent || (granted < missing && entry.m_bucket.m_level < 1.0);
     grant.m_recalled = coordinator.m_overdrawn.contains(use.m_organisation);
     const double share = coordinator.m_share.m_mature + coordinator.m_share.m_fresh;
     if (grant.m_exhausted && share >= decisiveShare) {
-        grant.m_retryAfterMilliseconds = retryAfter(
-            entry.m_bucket.m_level, quotaRate(entry.m_basis, coordinator.m_share));
+        grant.m_retryAfterMilliseconds =
+            retryAfter(entry.m_bucket.m_level, quotaRate(entry.m_basis, coordinator.m_share));
     }
 }
 
@@ -336,8 +344,8 @@
     reply.m_partition = coordinator.m_partition;
     reply.m_partitions = coordinator.m_partitions;
     // Counters that refer to an earlier process of this coordinator mean nothing here.
-    const bool sameSession = report.m_coordinatorSession == 0
-        || report.m_coordinatorSession == coordinator.m_session;
+    const bool sameSession =
+        report.m_coordinatorSession == 0 || report.m_coordinatorSession == coordinator.m_session;
     if (sameSession) {
         const std::size_t uses = std::min(report.m_uses.size(), maxQuotaUses);
         for (std::size_t index = 0; index < uses; ++index) {
--- a/libs/quota/src/details/bucket.h
+++ b/libs/quota/src/details/bucket.h
@@ -17,8 +17,8 @@
 struct QuotaShare
 {
     double m_mature = 0.0;
-    //! Delegated for less than the lifetime of a token. Tokens that the previous coordinator granted
-    //! from this part may still be in use, so it adds the reserve only to the capacity.
+    //! Delegated for less than the lifetime of a token. Tokens that the previous coordinator
+    //! granted from this part may still be in use, so it adds the reserve only to the capacity.
     double m_fresh = 0.0;
 };
 
@@ -28,8 +28,8 @@
     TimePoint m_updatedAt;
 };
 
-//! @brief Computes the bucket parameters so that rate x window + burst + 2 x reserve is at most what
-//! is permitted in a window. Values that are not finite or negative count as 0.
+//! @brief Computes the bucket parameters so that rate x window + burst + 2 x reserve is at most
+//! what is permitted in a window. Values that are not finite or negative count as 0.
 QuotaBasis makeQuotaBasis(const QuotaLimit &limit, const QuotaTolerance &tolerance) noexcept;
 
 //! @brief True if the limit restricts the organisation at all.
--- a/libs/quota/src/details/node.h
+++ b/libs/quota/src/details/node.h
@@ -23,21 +23,23 @@
     std::uint64_t m_granted = 0;
     std::uint64_t m_consumed = 0;
     std::uint64_t m_returned = 0;
-    std::uint64_t m_carried = 0; //!< Of the previous coordinator, until CoordinatorLink::m_carriedUntil.
+    std::uint64_t m_carried =
+        0; //!< Of the previous coordinator, until CoordinatorLink::m_carriedUntil.
 
     double m_demand = 0.0; //!< Requests expected in the next demandHorizon.
     TimePoint m_demandAt;
     TimePoint m_lastSeen;
     std::uint32_t m_pending = 0; //!< Requests that wait for a token.
 
-    bool m_active = false;             //!< In CoordinatorLink::m_active.
-    bool m_unacknowledged = false;     //!< Counters have changed since the last answered report.
-    std::int64_t m_changeSentAt = 0;   //!< First report that contains the change; 0: none yet.
-    TimePoint m_askAfter;              //!< No tokens are asked for ahead of demand until then.
-    TimePoint m_refusedUntil;          //!< Requests are refused without asking until then.
+    bool m_active = false;           //!< In CoordinatorLink::m_active.
+    bool m_unacknowledged = false;   //!< Counters have changed since the last answered report.
+    std::int64_t m_changeSentAt = 0; //!< First report that contains the change; 0: none yet.
+    TimePoint m_askAfter;            //!< No tokens are asked for ahead of demand until then.
+    TimePoint m_scarceUntil;         //!< Use is reported every usageInterval until then.
+    TimePoint m_refusedUntil;        //!< Requests are refused without asking until then.
     TimePoint m_tokenExpectedAt;
     bool m_coordinatorCannotTell = false; //!< Of the last refusal: the quota may not be used up.
-    std::int64_t m_refusedReport = 0;  //!< Report that was answered with a refusal.
+    std::int64_t m_refusedReport = 0;     //!< Report that was answered with a refusal.
 
     TokenBucket m_ownBucket;
     std::size_t m_rank = 0; //!< Of this node in the rendezvous order of the organisation.
@@ -75,7 +77,8 @@
 
     bool m_delegated = false; //!< The share was delegated to the current coordinator.
     TimePoint m_lastDelegatedAt;
-    TimePoint m_mayDelegateAt; //!< Until then the share may still count at the previous coordinator.
+    TimePoint
+        m_mayDelegateAt; //!< Until then the share may still count at the previous coordinator.
 
     std::uint64_t m_probeSession = 0; //!< Of the last report to a silent node.
     TimePoint m_nextProbeAt;
--- a/libs/quota/src/limiter.cpp
+++ b/libs/quota/src/limiter.cpp
@@ -71,11 +71,8 @@
     std::optional<QuotaDecision> m_admitted;
 
     Implementation(const QuotaOptions &options, TimePoint now, QuotaOutput &output)
-        : m_options(options)
-        , m_output(output)
-        , m_startedAt(now)
-        , m_lastRunAt(now)
-        , m_random{options.m_session}
+        : m_options(options), m_output(output), m_startedAt(now),
+          m_lastRunAt(now), m_random{options.m_session}
     {
     }
 
@@ -437,7 +434,7 @@
     {
         // Nodes may differ by one while their number changes.
         return partition < partitions && partitions <= m_partitions + 1
-            && partitions + 1 >= m_partitions;
+               && partitions + 1 >= m_partitions;
     }
 
     std::optional<QuotaReply> coordinate(TimePoint now, std::string_view node,
@@ -466,8 +463,8 @@
         TimePoint mayDelegateAt = m_startedAt;
         std::deque<PendingRequest> waiting;
         for (CoordinatorLink &link : m_links) {
-            const TimePoint released = link.m_delegated ? link.m_lastDelegatedAt + quotaLease
-                                                        : link.m_mayDelegateAt;
+            const TimePoint released =
+                link.m_delegated ? link.m_lastDelegatedAt + quotaLease : link.m_mayDelegateAt;
             mayDelegateAt = std::max(mayDelegateAt, released);
             waiting.insert(waiting.end(), link.m_pending.begin(), link.m_pending.end());
         }
@@ -478,8 +475,7 @@
             m_links[partition].m_lastSentAt = now - reportInterval;
         }
         for (std::pair<const std::uint64_t, HeldTokens> &entry : m_tokens) {
-            entry.second.m_partition =
-                static_cast<std::uint32_t>(entry.first % m_partitions);
+            entry.second.m_partition = static_cast<std::uint32_t>(entry.first % m_partitions);
             entry.second.m_active = entry.second.m_pending > 0;
             entry.second.m_carried = 0;
             if (entry.second.m_active) {
@@ -508,7 +504,8 @@
             rebuildLinks(now);
         }
         for (CoordinatorLink &link : m_links) {
-            link.m_order = coordinatorOrder(m_peers, link.m_partition, m_partitions);
+            link.m_order =
+                coordinatorOrder(m_peers, link.m_partition, m_partitions, m_options.m_node);
             std::erase_if(link.m_silent, [this](const std::pair<const std::string, TimePoint> &e) {
                 return !m_peerNames.contains(e.first);
             });
@@ -522,10 +519,11 @@
 
     void updateCoordinators(TimePoint now)
     {
-        std::erase_if(m_coordinators, [this](const std::pair<const std::pair<std::uint32_t, std::uint32_t>,
-                                                             PartitionCoordinator> &entry) {
-            return !acceptsPartition(entry.first.second, entry.first.first);
-        });
+        std::erase_if(m_coordinators,
+                      [this](const std::pair<const std::pair<std::uint32_t, std::uint32_t>,
+                                             PartitionCoordinator> &entry) {
+                          return !acceptsPartition(entry.first.second, entry.first.first);
+                      });
         for (std::pair<const std::pair<std::uint32_t, std::uint32_t>, PartitionCoordinator> &entry :
              m_coordinators) {
             for (std::pair<const std::string, DelegatingNode> &node : entry.second.m_nodes) {
@@ -687,7 +685,7 @@
     m_implementation->begin(now);
     const TimePoint sentAt{Duration(reply.m_reportSentAt)};
     const bool known = reply.m_partitions == m_implementation->m_partitions
-        && reply.m_partition < m_implementation->m_links.size();
+                       && reply.m_partition < m_implementation->m_links.size();
     // The coordinator may have dropped the tokens of an older reply by now.
     if (!known || sentAt > now || sentAt <= now - quotaLease || reply.m_coordinatorSession == 0) {
         return;
--- a/libs/quota/src/node.cpp
+++ b/libs/quota/src/node.cpp
@@ -19,6 +19,10 @@
 constexpr Duration shortestRefusal = std::chrono::milliseconds(20);
 constexpr Duration longestRefusal = std::chrono::milliseconds(100);
 
+//! Unreported use takes up capacity, so it is reported more often for this long after the
+//! coordinator had fewer tokens than wanted.
+constexpr Duration scarcityKept = std::chrono::seconds(1);
+
 //! Greater counters are taken for corrupt.
 constexpr std::uint64_t greatestCounter = std::uint64_t{1} << 60U;
 
@@ -53,8 +57,8 @@
 void addUse(QuotaReport &report, HeldTokens &tokens, TimePoint now)
 {
     const std::uint64_t ahead = now >= tokens.m_askAfter
-        ? targetTokens(tokens, now)
-        : std::min(targetTokens(tokens, now), unusedTokens(tokens));
+                                    ? targetTokens(tokens, now)
+                                    : std::min(targetTokens(tokens, now), unusedTokens(tokens));
     QuotaUse &use = report.m_uses.emplace_back();
     use.m_organisation = tokens.m_hash;
     use.m_consumed = tokens.m_consumed;
@@ -75,7 +79,7 @@
 {
     std::erase_if(link.m_active, [now](HeldTokens *tokens) {
         const bool inactive = !belongsInReport(*tokens, now) && unusedTokens(*tokens) == 0
-            && targetTokens(*tokens, now) == 0;
+                              && targetTokens(*tokens, now) == 0;
         tokens->m_active = !inactive;
         return inactive;
     });
@@ -102,10 +106,10 @@
 void markAsked(CoordinatorLink &link, const QuotaReport &report)
 {
     for (PendingRequest &pending : link.m_pending) {
-        const bool asked = std::any_of(
-            report.m_uses.begin(), report.m_uses.end(), [&pending](const QuotaUse &use) {
-                return use.m_organisation == pending.m_organisation;
-            });
+        const bool asked = std::any_of(report.m_uses.begin(), report.m_uses.end(),
+                                       [&pending](const QuotaUse &use) {
+                                           return use.m_organisation == pending.m_organisation;
+                                       });
         if (pending.m_askedBy == 0 && asked) {
             pending.m_askedBy = report.m_sentAt;
         }
@@ -129,6 +133,10 @@
         tokens.m_returned += unusedTokens(tokens);
         markChanged(link, tokens);
     }
+    if (grant.m_exhausted || unusedTokens(tokens) < targetTokens(tokens, now)) {
+        tokens.m_scarceUntil = now + scarcityKept;
+        tokens.m_askAfter = now + usageInterval;
+    }
     if (!grant.m_exhausted) {
         return;
     }
@@ -174,7 +182,9 @@
     }
     ++tokens.m_consumed;
     markChanged(link, tokens);
-    if (2 * unusedTokens(tokens) < targetTokens(tokens, now) && now >= tokens.m_askAfter) {
+    const bool low =
+        2 * unusedTokens(tokens) < targetTokens(tokens, now) && now >= tokens.m_askAfter;
+    if (low || now < tokens.m_scarceUntil) {
         link.m_usageChanged = true;
     }
     return true;
