--- a/libs/quota/tests/limitertest.cpp
+++ b/libs/quota/tests/limitertest.cpp
@@ -195,6 +195,7 @@
     RecordingOutput output;
     QuotaLimiter limiter({"node1", testTolerance, 7}, begin, output);
     std::vector<OrganisationLimit> limits;
+    limits.reserve(100);
     for (int index = 0; index < 100; ++index) {
         limits.push_back({"organisation" + std::to_string(index), {1.0, 1.0}});
     }
