--- a/libs/quota/tests/failuretest.cpp
+++ b/libs/quota/tests/failuretest.cpp
@@ -172,19 +172,30 @@
 {
     std::map<std::string, Efficiency> sums;
     std::size_t messages = 0;
+    std::size_t bytes = 0;
+    std::size_t requests = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         Harness harness(shape.m_nodes, seed);
         startAll(harness);
         harness.run(begin + shape.m_runTime);
         expectBounds(harness, seed);
         expectEfficient(sums, harness, seed);
-        EXPECT_LE(harness.m_largestMessage, 32U);
+        EXPECT_LE(harness.m_largestMessage, 1200U);
         messages += harness.m_messages;
+        bytes += harness.m_bytes;
+        for (const std::pair<const std::string, Counts> &counts : harness.m_counts) {
+            requests += counts.second.m_offered.size();
+        }
     }
     expectEfficientSums(sums);
-    std::printf("%.2f messages per node and second\n",
-                static_cast<double>(messages) / shape.m_nodes / seeds
-                    / std::chrono::duration<double>(shape.m_runTime).count());
+    const double nodeSeconds =
+        shape.m_nodes * seeds * std::chrono::duration<double>(shape.m_runTime).count();
+    std::printf("per node and second: %.2f messages, %.0f bytes, %.2f requests; %.0f bytes per "
+                "request\n",
+                static_cast<double>(messages) / nodeSeconds,
+                static_cast<double>(bytes) / nodeSeconds,
+                static_cast<double>(requests) / nodeSeconds,
+                static_cast<double>(bytes) / static_cast<double>(requests));
 }
 
 // Guards against tokens idle at nodes without demand that other nodes lack.
--- a/libs/quota/tests/harness.cpp
+++ b/libs/quota/tests/harness.cpp
@@ -2,9 +2,65 @@
 
 namespace arbutusgrade {
 
+namespace {
+
+//! Field header and a zigzag varint; fields of value 0 are sent as well.
+std::size_t fieldSize(std::uint64_t value)
+{
+    const std::int64_t number = static_cast<std::int64_t>(value);
+    std::uint64_t zigzag = (value << 1U) ^ static_cast<std::uint64_t>(number >> 63U);
+    std::size_t size = 2;
+    while (zigzag >= 0x80U) {
+        zigzag >>= 7U;
+        ++size;
+    }
+    return size;
+}
+
+//! The version byte, the header of the list with its length, and the end of the struct.
+constexpr std::size_t frameSize = 5;
+
+} // namespace
+
+std::size_t compactSize(const QuotaReport &report)
+{
+    std::size_t size = frameSize + fieldSize(report.m_nodeSession)
+                       + fieldSize(report.m_coordinatorSession)
+                       + fieldSize(static_cast<std::uint64_t>(report.m_sentAt))
+                       + fieldSize(static_cast<std::uint64_t>(report.m_coordinatorTime))
+                       + fieldSize(report.m_partition) + fieldSize(report.m_partitions)
+                       + fieldSize(report.m_nodes);
+    for (const QuotaUse &use : report.m_uses) {
+        size += 1 + fieldSize(use.m_organisation) + fieldSize(use.m_consumed)
+                + fieldSize(use.m_returned) + fieldSize(use.m_wanted) + fieldSize(use.m_pending);
+    }
+    return size;
+}
+
+std::size_t compactSize(const QuotaReply &reply)
+{
+    std::size_t size = frameSize + 1 + fieldSize(reply.m_nodeSession)
+                       + fieldSize(reply.m_coordinatorSession)
+                       + fieldSize(static_cast<std::uint64_t>(reply.m_reportSentAt))
+                       + fieldSize(static_cast<std::uint64_t>(reply.m_coordinatorTime))
+                       + fieldSize(reply.m_partition) + fieldSize(reply.m_partitions);
+    for (const QuotaGrant &grant : reply.m_grants) {
+        // The end of the struct and two bool fields take a byte each.
+        size += 3 + fieldSize(grant.m_organisation) + fieldSize(grant.m_granted)
+                + fieldSize(grant.m_retryAfterMilliseconds);
+    }
+    return size;
+}
+
+void Harness::countBytes(std::size_t bytes)
+{
+    m_bytes += bytes;
+    m_largestMessage = std::max(m_largestMessage, bytes);
+}
+
 void SimulatedNode::sendReport(std::string_view node, const QuotaReport &report)
 {
-    m_harness->m_largestMessage = std::max(m_harness->m_largestMessage, report.m_uses.size());
+    m_harness->countBytes(compactSize(report));
     m_harness->send(m_index, node, [this, report](SimulatedNode &to) {
         to.m_limiter->receiveReport(m_harness->m_now, m_name, report);
     });
@@ -12,7 +68,7 @@
 
 void SimulatedNode::sendReply(std::string_view node, const QuotaReply &reply)
 {
-    m_harness->m_largestMessage = std::max(m_harness->m_largestMessage, reply.m_grants.size());
+    m_harness->countBytes(compactSize(reply));
     m_harness->send(m_index, node, [this, reply](SimulatedNode &to) {
         to.m_limiter->receiveReply(m_harness->m_now, m_name, reply);
     });
--- a/libs/quota/tests/harness.h
+++ b/libs/quota/tests/harness.h
@@ -74,6 +74,7 @@
     Duration randomDuration(Duration from, Duration to);
     std::vector<int> allNodes() const;
 
+    void countBytes(std::size_t bytes);
     void send(int from, std::string_view to, const std::function<void(SimulatedNode &)> &deliver);
     void record(std::string_view organisation, const QuotaDecision &decision);
 
@@ -84,7 +85,8 @@
     std::map<std::string, Counts, std::less<>> m_counts;
     std::map<std::uint64_t, std::string> m_waiting; //!< Organisations of pending requests.
     std::size_t m_messages = 0;
-    std::size_t m_largestMessage = 0; //!< Uses or grants.
+    std::size_t m_largestMessage = 0; //!< Bytes.
+    std::size_t m_bytes = 0;          //!< Of all messages, without UDP and IP.
 
 private:
     struct Event
@@ -106,6 +108,10 @@
     std::uint64_t m_sequence = 0;
 };
 
+//! @brief Sizes in Thrift's compact protocol with a byte for the version.
+std::size_t compactSize(const QuotaReport &report);
+std::size_t compactSize(const QuotaReply &reply);
+
 inline constexpr QuotaTolerance testTolerance{std::chrono::seconds(5), 0.1, 20.0};
 
 } // namespace arbutusgrade
--- a/libs/quota/tests/limitertest.cpp
+++ b/libs/quota/tests/limitertest.cpp
@@ -218,6 +218,19 @@
     EXPECT_GT(named.size(), 24U);
 }
 
+// Guards against datagrams above 1,200 bytes, whatever the values are.
+TEST(QuotaSizes, LargestMessagesFitADatagram)
+{
+    QuotaReport report{huge >> 1U, huge >> 1U, 0, 0, 3, 4, 410, {}};
+    report.m_sentAt = std::numeric_limits<std::int64_t>::max();
+    report.m_coordinatorTime = report.m_sentAt;
+    report.m_uses.assign(24, {huge >> 1U, huge >> 1U, huge >> 1U, 1U << 31U, 1U << 31U});
+    EXPECT_LE(compactSize(report), 1200U);
+    QuotaReply reply{huge >> 1U, huge >> 1U, report.m_sentAt, report.m_sentAt, 3, 4, true, {}};
+    reply.m_grants.assign(32, {huge >> 1U, huge >> 1U, 60'000, true, true});
+    EXPECT_LE(compactSize(reply), 1200U);
+}
+
 //! 68 nodes with one organisation, whose bucket is full.
 class QuotaTokens : public testing::Test
 {
