--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> answerNames{
-    "relayed", "merged", "no-route", "refused", "failed", "timed-out", "quarantined"};
+constexpr std::array<std::string_view, answerKindCount> answerNames{
+    "relayed",   "merged",      "no-route",     "refused",       "failed",
+    "timed-out", "quarantined", "unauthorized", "quota-exceeded"};
 
 } // namespace
 
@@ -75,6 +76,11 @@
         addGauge(families, "arbutusgrade_caller_connections", "Connections of callers by state",
                  static_cast<double>(state.second), {{"state", state.first}});
     }
+    if (m_quotaService.isActive()) {
+        addGauge(families, "arbutusgrade_quota_requests_waiting", "Requests that wait for a token",
+                 static_cast<double>(m_admission.waitingRequests()));
+    }
+    m_quotaService.collect(families);
     m_latency.collect(families);
     m_callerRoundTrip.collect(families);
     return families;
