Treat replies with an invalid status code as no reply

A target that sent "HTTP/1.1 000 OK" had this forwarded to its caller: the parser takes any three digits, and nothing checked the number. Status codes from 100 to 599 are valid; the check is in ReplyParser, which all clients of the product share (ForwardClient, TargetPool, HttpClient), and the connection is closed. The attempt ends as malformed: an idempotent request is tried again, any other one is answered with 502.

Unlike another unreadable reply, such a reply says nothing on the value that was asked for.

Safe requests were tried again before as well, since the code was no success.

--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -176,6 +176,7 @@
     error_code error;
     const std::size_t used = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(used);
+    m_statusInvalid = error == http::error::bad_status;
     return !error || error == http::error::need_more;
 }
 
@@ -198,7 +199,7 @@
 {
     const bool isWellFormed = parseMessage() && skipInterimReplies();
     if (!isWellFormed) {
-        finish(ExchangeEnd::Malformed);
+        finish(m_statusInvalid ? ExchangeEnd::InvalidStatus : ExchangeEnd::Malformed);
         return;
     }
     if (!m_parser->is_done()) {
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -21,10 +21,11 @@
 //! @brief How an exchange on a client connection ended.
 enum class ExchangeEnd {
     Reply,
-    NotSent,   //!< No byte of the request was handed to the socket.
-    Lost,      //!< The peer closed the connection after bytes had been handed over.
-    Reset,     //!< The connection was reset or timed out after bytes had been handed over.
-    Malformed, //!< The reply is no HTTP/1.1 response, or larger than allowed.
+    NotSent,       //!< No byte of the request was handed to the socket.
+    Lost,          //!< The peer closed the connection after bytes had been handed over.
+    Reset,         //!< The connection was reset or timed out after bytes had been handed over.
+    Malformed,     //!< The reply is no HTTP/1.1 response, or larger than allowed.
+    InvalidStatus, //!< The reply has a status code that does not exist.
 };
 
 //! @brief Client side of one HTTP/1.1 connection; one exchange at a time.
@@ -99,8 +100,9 @@
     ExchangeHandler m_handler;
     std::function<void()> m_idleCloseHandler;
     std::chrono::milliseconds m_peerTimeout{0};
-    bool m_writing = false;     //!< Part of the request is still to be written.
-    bool m_writeFailed = false; //!< Of the current exchange.
+    bool m_writing = false;       //!< Part of the request is still to be written.
+    bool m_writeFailed = false;   //!< Of the current exchange.
+    bool m_statusInvalid = false; //!< Of the message parsed last.
     bool m_reusable = false;
     bool m_closed = false;
 };
--- a/libs/transport/src/details/replyparser.h
+++ b/libs/transport/src/details/replyparser.h
@@ -31,6 +31,10 @@
 private:
     static constexpr std::uint32_t headerLimitBytes = 16 * 1024;
 
+    // Range of valid status codes; RFC 9110, section 15. The parser takes any three digits.
+    static constexpr int minimumStatus = 100;
+    static constexpr int maximumStatus = 599;
+
     using Error = boost::beast::error_code;
     using Text = boost::beast::string_view;
 
@@ -56,6 +60,10 @@
     }
     void on_response_impl(int status, Text reason, int /*version*/, Error &error) override
     {
+        if (status < minimumStatus || status > maximumStatus) {
+            error = boost::beast::http::error::bad_status;
+            return;
+        }
         if (holdsStatusLine(reason)) {
             error = boost::beast::http::error::bad_reason;
             return;
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -46,6 +46,7 @@
     case ExchangeEnd::Reset:
         return ForwardEnd::Reset;
     case ExchangeEnd::Malformed:
+    case ExchangeEnd::InvalidStatus:
         break;
     }
     return ForwardEnd::Malformed;
--- a/libs/transport/tests/brokenreplytest.cpp
+++ b/libs/transport/tests/brokenreplytest.cpp
@@ -93,6 +93,26 @@
     EXPECT_EQ(exchange(head + "\r\nhalf", End::Reset), ForwardEnd::Reset);
 }
 
+// Guards against a reply with an invalid status code that is passed on, or that leaves its
+// connection in use, and against valid codes at the limits that are refused.
+TEST_F(BrokenReplyTest, StatusCodeIsInTheRangeOfHttp)
+{
+    const auto reply = [](std::string_view status) {
+        std::string text = "HTTP/1.1 ";
+        text.append(status).append(" OK\r\nContent-Length: 0\r\n\r\n");
+        return text;
+    };
+    for (const std::string_view status : {"000", "001", "099", "600", "999"}) {
+        EXPECT_EQ(exchange(reply(status), End::KeepOpen), ForwardEnd::Malformed) << status;
+        EXPECT_EQ(m_client.statistics().m_connections, 0U) << status;
+    }
+    for (const std::string_view status : {"200", "599"}) {
+        EXPECT_EQ(exchange(reply(status), End::KeepOpen), ForwardEnd::Reply) << status;
+    }
+    EXPECT_EQ(exchange("HTTP/1.1 100 OK\r\n\r\n" + reply("000"), End::KeepOpen),
+              ForwardEnd::Malformed);
+}
+
 // Guards against a second copy of a reply that the next request on the connection takes for its
 // own: right behind the first one, and later on the idle connection.
 TEST_F(BrokenReplyTest, SecondCopyEndsTheConnection)
