Leave evacuated data centres alone and limit requests to cold targets

Evacuation: StoreSync follows the keys with the prefix that DeploymentFormat names, in changes and in full listings, and logs each start and end once. The registry keeps the set; acceptsRequests() is false for the targets, so that they get no attempt, hedge, retry or probe, and requests and queued sub-requests that have no other targets are refused as unreachable. A refusal that an evacuation may explain does not count as a sign that this node is isolated.

Half of the bound is dealt to the registered nodes in rendezvous order for the target; a node sends at most its share in any second of its own clock. Half, since requests sent a second apart may arrive less than a second apart, and since two sides of a partition have different lists. A node that is not in its own list sends nothing. An entry that is listed again without having been written again no longer begins the warm-up anew; entries therefore carry the revision of the store.

After an evacuation, targets count as cold for warmupS unless their entry is written again before.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -55,12 +56,22 @@
     Duration m_idleTimeout = std::chrono::seconds(15);
 };
 
+//! @brief Limit on requests to targets of a service that are cold, for all nodes together.
+struct WarmupLimit
+{
+    double m_requestsPerSecond = 0.0; //!< For each target.
+    //! How long a target counts as cold after the evacuation of its data centre, unless its entry
+    //! is written again before.
+    Duration m_duration{0};
+};
+
 //! @brief A version of the routing configuration. Immutable once the engine uses it.
 struct RoutingTable
 {
     std::uint64_t m_version = 0;
     std::vector<Route> m_routes;
-    std::unordered_map<std::string, int> m_connectionLimits; //!< By service, for all nodes.
+    std::unordered_map<std::string, int> m_connectionLimits;     //!< By service, for all nodes.
+    std::unordered_map<std::string, WarmupLimit> m_warmupLimits; //!< By service; absent: no limit.
     CallerLimits m_limits;
 };
 
@@ -93,7 +104,8 @@
     int m_slots = 1;
     bool m_draining = false;
     Duration m_warmupRemaining{0};
-    std::int64_t m_started = 0; //!< Start time, Unix milliseconds; identifies the process.
+    std::int64_t m_started = 0;   //!< Start time, Unix milliseconds; identifies the process.
+    std::uint64_t m_revision = 0; //!< Of the store when the entry was written.
 };
 
 //! @brief An attempt that has been sent to a target and has not ended.
@@ -118,6 +130,10 @@
     bool m_removed = false;         //!< No longer in the registry.
     TimePoint m_removalEffectiveAt; //!< For removed targets.
     TimePoint m_warmupEnd;          //!< The target may be slower before this time.
+    bool m_evacuated = false;       //!< Its data centre gets no requests.
+    //! End of the evacuation of its data centre; empty once its entry has been written again.
+    std::optional<TimePoint> m_evacuationEndedAt;
+    std::vector<TimePoint> m_coldRequests; //!< Sent in the last second while it was cold.
     //! From 0 to 1, lower for the targets that this node prefers; nodes prefer different ones.
     double m_tieBreaker = 0.0;
     std::vector<OutstandingAttempt> m_inFlight;
@@ -151,6 +167,7 @@
     std::string m_node;                                       //!< Name of this node.
     std::unordered_map<std::string, TargetPointer> m_targets; //!< By id.
     std::unordered_map<std::string, std::vector<TargetPointer>> m_targetsByService;
+    std::set<std::string> m_evacuatedDataCentres;
     bool m_storeUnavailable = false;
     TimePoint m_storeRecoveryGraceEnd; //!< Earliest end of use after a removal.
 };
@@ -175,6 +192,12 @@
 //! @brief Lets the removals of a store outage take effect after storeRecoveryGracePeriod.
 void markStoreAvailable(TargetRegistry &registry, TimePoint now);
 
+//! @brief Starts or ends the evacuation of a data centre: its targets get no new attempt and no
+//! probe. Also applies to targets that are added later.
+//! @return false if nothing changes.
+bool setEvacuated(TargetRegistry &registry, TimePoint now, const std::string &dataCentre,
+                  bool evacuated);
+
 //! @brief Returns whether new requests may be sent to the target. Also true for a target that is
 //! down.
 bool acceptsRequests(const Target &target, TimePoint now);
@@ -182,6 +205,54 @@
 //! @brief Erases targets whose removal has taken effect; call periodically.
 void purgeRemovedTargets(TargetRegistry &registry, TimePoint now);
 
+// Requests to cold targets -----------------------------------------------------------------------
+
+//! @brief Excess over the request rate of cold targets that is permitted.
+struct WarmupTolerance
+{
+    double m_overage = 1.0; //!< Factor on the rate.
+    double m_slack = 0.0;   //!< Requests a second on top of that.
+};
+
+//! @brief Returns the number of requests that all nodes together send to a cold target in a second:
+//! half of what the limit permits.
+//!
+//! Requests that a node sends one second apart may arrive less than a second apart, so that a
+//! second at the target may hold two seconds of the nodes. The half also covers nodes that have
+//! two different lists of the nodes, as after a partition.
+int warmupShares(const WarmupLimit &limit, const WarmupTolerance &tolerance);
+
+//! @brief Returns how many requests a node may send to a cold target in any second of its own
+//! clock.
+//!
+//! The shares are dealt to the nodes in rendezvous order for the target, so that nodes with the
+//! same list hold exactly `shares` between them. The order does not depend on the time: clocks of
+//! different nodes are never compared.
+//! @param nodes names of all nodes; a node that is not among them has no share.
+//! @param nodeCount number of nodes that may be running, at least as many as there are names.
+int warmupShareOfNode(int shares, std::string_view target, std::string_view node,
+                      std::span<const std::string> nodes, int nodeCount);
+
+//! @brief What a choice of targets needs to keep the limit of a service for cold targets.
+struct WarmupCriteria
+{
+    WarmupLimit m_limit;
+    WarmupTolerance m_tolerance;
+    std::string_view m_node; //!< This node.
+    std::span<const std::string> m_nodes;
+    int m_nodeCount = 1;
+};
+
+//! @brief Returns whether the target is cold.
+bool isCold(const Target &target, TimePoint now, const WarmupLimit &limit);
+
+//! @brief Returns whether this node may send another request to the target now. Always true for
+//! targets that are not cold.
+bool allowsColdRequest(const Target &target, TimePoint now, const WarmupCriteria &criteria);
+
+//! @brief Records a request to a target if it is cold.
+void recordColdRequest(Target &target, TimePoint now, const WarmupLimit &limit);
+
 // Target selection -------------------------------------------------------------------------------
 
 //! @brief Criteria for selecting a target.
@@ -194,6 +265,7 @@
     //! Smoothed time between requests of this node to the service; zero if not known. Statistics of
     //! targets are kept the longer, the fewer requests there are to renew them.
     Duration m_requestInterval{0};
+    std::optional<WarmupCriteria> m_warmup; //!< For services with a limit for cold targets.
 };
 
 //! @brief Returns the target with the lowest expected cost, or null if none is eligible.
@@ -383,7 +455,9 @@
     std::string m_body;
     std::optional<Duration> m_timeLeft; //!< Time until the caller's deadline.
     CallerPath m_callerPath;
-    std::uint64_t m_fingerprint = 0; //!< Same value if the request is sent again.
+    std::uint64_t m_fingerprint = 0;           //!< Same value if the request is sent again.
+    std::string m_organisation;                //!< Empty if the request belongs to none.
+    std::optional<int> m_organisationPriority; //!< Overrides the priority of the route.
 };
 
 using ForwardRequestPointer = std::shared_ptr<const ForwardRequest>;
@@ -484,6 +558,7 @@
     std::string m_node;
     std::string m_dataCentre;
     RetryBudgetLimits m_budget;
+    WarmupTolerance m_warmup;
 };
 
 struct ForwardStatistics
@@ -530,6 +605,9 @@
     //! @brief Sets the number of nodes that share the limits of the targets.
     void setNodeCount(int nodes);
 
+    //! @brief Sets the names of all nodes, which share the requests to cold targets.
+    void setNodes(std::vector<std::string> names);
+
     void submit(TimePoint now, const ForwardRequestPointer &request);
 
     //! @brief Answers all requests, present and later ones, before the end of a planned stop, and
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -65,6 +65,18 @@
     return std::clamp(limit / m_options.m_budget.m_nodes, 1, maximumInFlightPerTarget);
 }
 
+std::optional<WarmupCriteria> ForwardEngine::Implementation::warmupCriteria(
+    const PendingRequest &pending, const ServiceState &service) const
+{
+    const std::unordered_map<std::string, WarmupLimit>::const_iterator found =
+        pending.m_routingTable->m_warmupLimits.find(service.m_name);
+    if (found == pending.m_routingTable->m_warmupLimits.end()) {
+        return std::nullopt;
+    }
+    return WarmupCriteria{found->second, m_options.m_warmup, m_options.m_node, m_nodes,
+                          m_options.m_budget.m_nodes};
+}
+
 void ForwardEngine::Implementation::recordRequest(TimePoint now, ServiceState &service) const
 {
     recordFirstAttempt(service.m_budget, m_options.m_budget, now);
@@ -113,6 +125,7 @@
     criteria.m_inFlightLimit = inFlightLimit(pending, *subrequest.m_service);
     criteria.m_requestInterval = subrequest.m_service->m_requestInterval;
     criteria.m_healthyOnly = reason == AttemptReason::Hedge;
+    criteria.m_warmup = warmupCriteria(pending, *subrequest.m_service);
     const TargetPointer target = selectTarget(targets->second, now, criteria);
     if (!target) {
         return SendResult::NoTarget;
@@ -125,6 +138,9 @@
         }
         recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now);
     }
+    if (criteria.m_warmup) {
+        recordColdRequest(*target, now, criteria.m_warmup->m_limit);
+    }
     const std::uint64_t id = ++m_lastId;
     target->m_inFlight.push_back(
         OutstandingAttempt{id, now + pending.m_routeLatency->m_hedgeDelay});
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -144,6 +144,8 @@
     // Reachability (reachability.cpp)
     bool canServe(TimePoint now, const Route &route, const ServiceState *singleService) const;
     bool isServiceReachable(TimePoint now, const std::string &service) const;
+    bool hasEvacuatedTarget(const std::string &service) const;
+    bool isAffectedByEvacuation(const Route &route, const ServiceState *singleService) const;
     void probeDownTargets(TimePoint now);
     void recordConnectFailure(TimePoint now, Target &target);
     void recordRemoteContact(TimePoint now, const Target &target, bool connected);
@@ -169,6 +171,8 @@
     bool canRetry(const PendingRequest &pending, const Subrequest &subrequest) const;
     void dispatchQueue(TimePoint now, ServiceState &service);
     void failUnreachableQueue(TimePoint now, ServiceState &service);
+    std::optional<WarmupCriteria> warmupCriteria(const PendingRequest &pending,
+                                                 const ServiceState &service) const;
     int inFlightLimit(const PendingRequest &pending, const ServiceState &service) const;
     void detachAttempts(TimePoint now, std::uint64_t pendingId,
                         std::optional<std::size_t> subrequestIndex);
@@ -199,6 +203,7 @@
     std::optional<ShutdownSchedule> m_shutdown; //!< Empty until a planned stop begins.
     ForwardOutput &m_output;
     RoutingTablePointer m_routingTable;
+    std::vector<std::string> m_nodes; //!< Names of all nodes.
     TargetRegistry m_registry;
     CrashTable m_crashes;
     ForwardStatistics m_statistics;
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -75,6 +75,11 @@
     m_implementation->m_options.m_budget.m_nodes = std::max(1, nodes);
 }
 
+void ForwardEngine::setNodes(std::vector<std::string> names)
+{
+    m_implementation->m_nodes = std::move(names);
+}
+
 void ForwardEngine::submit(TimePoint now, const ForwardRequestPointer &request)
 {
     m_implementation->submit(now, request);
@@ -197,7 +202,10 @@
     const ServiceState *singleService =
         route.m_shards.empty() ? pending.m_subrequests.front().m_service : nullptr;
     if (!canServe(now, route, singleService)) {
-        m_unreachableUntil = now + unreachablePeriod;
+        // Other nodes leave the evacuated targets alone as well.
+        if (!isAffectedByEvacuation(route, singleService)) {
+            m_unreachableUntil = now + unreachablePeriod;
+        }
         refuseRequest(*request, AnswerKind::Refused, 503, "targets-unreachable",
                       unreachableRetryAfter);
         return;
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -24,6 +24,25 @@
     return found != m_registry.m_targetsByService.end() && hasAvailableTarget(found->second, now);
 }
 
+bool ForwardEngine::Implementation::hasEvacuatedTarget(const std::string &service) const
+{
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator found =
+        m_registry.m_targetsByService.find(service);
+    return found != m_registry.m_targetsByService.end()
+           && std::any_of(found->second.begin(), found->second.end(),
+                          [](const TargetPointer &target) { return target->m_evacuated; });
+}
+
+bool ForwardEngine::Implementation::isAffectedByEvacuation(const Route &route,
+                                                           const ServiceState *singleService) const
+{
+    if (singleService != nullptr) {
+        return hasEvacuatedTarget(singleService->m_name);
+    }
+    return std::any_of(route.m_shards.begin(), route.m_shards.end(),
+                       [this](const std::string &shard) { return hasEvacuatedTarget(shard); });
+}
+
 bool ForwardEngine::Implementation::canServe(TimePoint now, const Route &route,
                                              const ServiceState *singleService) const
 {
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -34,6 +34,7 @@
     TargetPointer target = std::make_shared<Target>();
     target->m_entry = entry;
     target->m_warmupEnd = now + entry.m_warmupRemaining;
+    target->m_evacuated = registry.m_evacuatedDataCentres.contains(entry.m_dataCentre);
     target->m_tieBreaker = static_cast<double>(rendezvousWeight(registry.m_node, entry.m_id))
                            / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
     registry.m_targets[entry.m_id] = target;
@@ -47,6 +48,14 @@
            && left.m_address == right.m_address && left.m_port == right.m_port;
 }
 
+//! @brief True if the target has written its entry again. A repeated listing of the same entry must
+//! not begin its warm-up anew.
+bool isRewritten(const TargetEntry &entry, const TargetEntry &known)
+{
+    return entry.m_revision != known.m_revision
+           || entry.m_warmupRemaining != known.m_warmupRemaining;
+}
+
 } // namespace
 
 EntryChange applyEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
@@ -70,8 +79,12 @@
         return EntryChange::Restarted;
     }
     const bool startsDraining = entry.m_draining && !target->m_entry.m_draining;
+    if (isRewritten(entry, target->m_entry)) {
+        target->m_warmupEnd = now + entry.m_warmupRemaining;
+        target->m_evacuationEndedAt.reset();
+    }
     target->m_entry = entry;
-    target->m_warmupEnd = now + entry.m_warmupRemaining;
+    target->m_evacuated = registry.m_evacuatedDataCentres.contains(entry.m_dataCentre);
     target->m_removed = false;
     return startsDraining ? EntryChange::Draining : EntryChange::Changed;
 }
@@ -128,9 +141,30 @@
     }
 }
 
+bool setEvacuated(TargetRegistry &registry, TimePoint now, const std::string &dataCentre,
+                  bool evacuated)
+{
+    const bool changes = evacuated ? registry.m_evacuatedDataCentres.insert(dataCentre).second
+                                   : registry.m_evacuatedDataCentres.erase(dataCentre) > 0;
+    if (!changes) {
+        return false;
+    }
+    for (const std::pair<const std::string, TargetPointer> &entry : registry.m_targets) {
+        Target &target = *entry.second;
+        if (target.m_entry.m_dataCentre != dataCentre) {
+            continue;
+        }
+        target.m_evacuated = evacuated;
+        if (!evacuated) {
+            target.m_evacuationEndedAt = now;
+        }
+    }
+    return true;
+}
+
 bool acceptsRequests(const Target &target, TimePoint now)
 {
-    return !target.m_addressReused && !target.m_entry.m_draining
+    return !target.m_evacuated && !target.m_addressReused && !target.m_entry.m_draining
            && (!target.m_removed || now < target.m_removalEffectiveAt);
 }
 
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -119,9 +119,11 @@
     if (criteria.m_healthyOnly && (now < target.m_backoffUntil || isStalled(target, now))) {
         return false;
     }
-    return std::find(criteria.m_excludedIds.begin(), criteria.m_excludedIds.end(),
-                     target.m_entry.m_id)
-           == criteria.m_excludedIds.end();
+    if (std::find(criteria.m_excludedIds.begin(), criteria.m_excludedIds.end(), target.m_entry.m_id)
+        != criteria.m_excludedIds.end()) {
+        return false;
+    }
+    return !criteria.m_warmup || allowsColdRequest(target, now, *criteria.m_warmup);
 }
 
 } // namespace
--- /dev/null
+++ b/libs/forwarding/tests/engineroomtest.cpp
@@ -0,0 +1,108 @@
+#include "enginefixture.h"
+
+namespace arbutusgrade {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class EngineRoom : public EngineTest
+{
+protected:
+    void evacuate(const std::string &dataCentre, bool evacuated = true)
+    {
+        setEvacuated(m_engine.registry(), m_now, dataCentre, evacuated);
+        m_engine.registryChanged(m_now);
+    }
+
+    //! @brief Takes all room at the targets of the service.
+    void fillTargets(const std::string &service)
+    {
+        for (const TargetPointer &target : m_engine.registry().m_targetsByService[service]) {
+            target->m_inFlight.assign(16, OutstandingAttempt{0, farFuture});
+        }
+    }
+};
+
+} // namespace
+
+// Guards against attempts, hedges, retries and probes to targets of an evacuated data centre, also
+// to those that are added meanwhile.
+TEST_F(EngineRoom, EvacuatedTargetsGetNothing)
+{
+    m_table.m_routes[0].m_attemptLimit = 8;
+    applyTable(2);
+    m_engine.probeEnded(m_now, m_engine.registry().m_targets["shard-1b"], false);
+    m_output.m_probed.clear();
+    evacuate("a");
+    evacuate("b");
+    addTarget("late", "shard-1", "a");
+    submit("/search/x");
+    replyStatus(m_output.m_orders[0], 500, false);
+    advanceTime(1900ms);
+    EXPECT_GT(m_output.m_orders.size(), 2U);
+    for (const ForwardCommand &order : m_output.m_orders) {
+        EXPECT_EQ(order.m_target->m_entry.m_dataCentre, "c");
+    }
+    EXPECT_TRUE(m_output.m_probed.empty());
+    evacuate("a", false);
+    evacuate("b", false);
+    EXPECT_EQ(m_output.m_probed.size(), 1U);
+    submit("/search/y");
+    EXPECT_EQ(lastOrder().m_target->m_entry.m_dataCentre, "a");
+}
+
+// Guards against a queued request that waits for evacuated targets until its time is over, and
+// against a node that leaves the balancer because targets are evacuated.
+TEST_F(EngineRoom, RequestsWithOnlyEvacuatedTargetsAreRefusedAtOnce)
+{
+    fillTargets("orders");
+    submit("/orders/x");
+    EXPECT_TRUE(m_output.m_answers.empty());
+    for (const std::string dataCentre : {"a", "b", "c"}) {
+        evacuate(dataCentre);
+    }
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    submit("/orders/x");
+    ASSERT_EQ(m_output.m_answers.size(), 2U);
+    for (const ForwardAnswer &answer : m_output.m_answers) {
+        EXPECT_EQ(answer.m_kind, AnswerKind::Refused);
+        EXPECT_EQ(answer.m_status, 503);
+    }
+    for (int failure = 0; failure < 4; ++failure) {
+        m_engine.probeEnded(m_now, m_engine.registry().m_targets["ordersb"], false);
+    }
+    advanceTime(500ms);
+    submit("/orders/x");
+    EXPECT_FALSE(m_engine.isIsolated(m_now));
+}
+
+// Guards against a cold target that gets more than this node's share, and against a limit for
+// services that have none.
+TEST_F(EngineRoom, ColdTargetGetsOnlyTheShareOfThisNode)
+{
+    constexpr int requests = 6;
+    for (const bool isLimited : {true, false}) {
+        m_output.m_orders.clear();
+        m_table.m_warmupLimits.clear();
+        if (isLimited) {
+            m_table.m_warmupLimits["orders"] = WarmupLimit{4.0, 0s};
+        }
+        applyTable(m_table.m_version + 1);
+        m_engine.setNodes({""}); // The name of the node in this fixture.
+        for (const std::string id : {"ordersb", "ordersc"}) {
+            m_engine.registry().m_targets[id]->m_down = true;
+        }
+        m_engine.registry().m_targets["ordersa"]->m_warmupEnd = m_now + 1h;
+        for (int request = 0; request < requests; ++request) {
+            submit("/orders/x");
+            if (!m_output.m_orders.empty()) {
+                replySuccess(lastOrder());
+            }
+        }
+        EXPECT_EQ(m_output.m_orders.size(), isLimited ? 2U : 6U);
+        advanceTime(1s);
+    }
+}
+
+} // namespace arbutusgrade
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -138,6 +138,8 @@
     std::string m_configurationKey;
     std::string m_targetPrefix;   //!< Prefix of registry keys; followed by the id of the target.
     std::string m_writablePrefix; //!< Prefix of the keys that gateway nodes may write.
+    //! Prefix of the keys that name evacuated data centres; followed by the name. Empty: none.
+    std::string m_evacuationPrefix;
     std::function<Checked<RoutingTable>(std::string_view text)> m_decodeRouting;
     std::function<Checked<TargetEntry>(std::string_view id, std::string_view text)> m_decodeTarget;
 };
@@ -161,13 +163,6 @@
     NodeLinkSettings m_link;
 };
 
-//! @brief Excess over the request rate of cold targets that is permitted.
-struct WarmupTolerance
-{
-    double m_overage = 1.0; //!< Factor on the rate.
-    double m_slack = 0.0;   //!< Requests a second on top of that.
-};
-
 //! @brief Settings of what nodes do together. What is absent is switched off.
 struct CoordinationSettings
 {
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -33,6 +33,9 @@
     //! @brief Number of nodes that share the limits, including recently expired ones.
     int nodeCount(TimePoint now);
 
+    //! @brief Names of the registered nodes.
+    std::vector<std::string> nodeNames() const;
+
 private:
     void createLease();
     void writeRegistration();
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "details/membership.h"
 #include "details/prefixwatcher.h"
@@ -37,6 +39,10 @@
 private:
     void applySnapshot(const std::vector<MetadataItem> &items);
     void applyChanges(const std::vector<MetadataEvent> &events);
+    //! @brief Returns the data centre whose evacuation the key stands for, if any.
+    std::optional<std::string> evacuatedDataCentre(std::string_view key) const;
+    void applyEvacuations(const std::vector<MetadataItem> &items);
+    void applyEvacuation(const std::string &dataCentre, bool evacuated);
     void applyConfiguration(const MetadataItem &item);
     void applyCrashCount(const MetadataItem &item);
     void applyTarget(const MetadataItem &item);
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -285,6 +285,7 @@
 void GatewayNode::Implementation::updateEngine(TimePoint now)
 {
     m_engine.setNodeCount(m_membership->nodeCount(now));
+    m_engine.setNodes(m_membership->nodeNames());
     m_engine.registryChanged(now);
     logReadiness();
     armEngineTimer();
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -50,6 +50,15 @@
                                     : std::max(registered, m_retainedCounts.front().m_nodes);
 }
 
+std::vector<std::string> Membership::nodeNames() const
+{
+    std::vector<std::string> names;
+    for (const std::string &key : m_registeredKeys) {
+        names.push_back(key.substr(m_prefix.size()));
+    }
+    return names;
+}
+
 void Membership::createLease()
 {
     m_store.createLease(m_timeToLive, [weak = weak_from_this()](const MetadataLease &lease) {
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <set>
 
 namespace arbutusgrade {
 
@@ -60,6 +61,7 @@
 void StoreSync::applySnapshot(const std::vector<MetadataItem> &items)
 {
     std::vector<std::string> presentIds;
+    applyEvacuations(items);
     for (const MetadataItem &item : items) {
         applyConfiguration(item);
         applyCrashCount(item);
@@ -81,6 +83,9 @@
     for (const MetadataEvent &event : events) {
         const std::string &key = event.m_item.m_key;
         const bool isTarget = key.starts_with(m_format.m_targetPrefix);
+        if (const std::optional<std::string> dataCentre = evacuatedDataCentre(key)) {
+            applyEvacuation(*dataCentre, !event.m_removed);
+        }
         if (!event.m_removed) {
             applyConfiguration(event.m_item);
             applyCrashCount(event.m_item);
@@ -95,6 +100,48 @@
     m_changeHandler();
 }
 
+std::optional<std::string> StoreSync::evacuatedDataCentre(std::string_view key) const
+{
+    const std::string_view prefix = m_format.m_evacuationPrefix;
+    if (prefix.empty() || !key.starts_with(prefix) || key.size() == prefix.size()) {
+        return std::nullopt;
+    }
+    return std::string(key.substr(prefix.size()));
+}
+
+void StoreSync::applyEvacuations(const std::vector<MetadataItem> &items)
+{
+    std::set<std::string> listed;
+    for (const MetadataItem &item : items) {
+        if (std::optional<std::string> dataCentre = evacuatedDataCentre(item.m_key)) {
+            listed.insert(std::move(*dataCentre));
+        }
+    }
+    const std::set<std::string> known = m_engine.registry().m_evacuatedDataCentres;
+    for (const std::string &dataCentre : known) {
+        if (!listed.contains(dataCentre)) {
+            applyEvacuation(dataCentre, false);
+        }
+    }
+    for (const std::string &dataCentre : listed) {
+        applyEvacuation(dataCentre, true);
+    }
+}
+
+void StoreSync::applyEvacuation(const std::string &dataCentre, bool evacuated)
+{
+    if (!setEvacuated(m_engine.registry(), bootTimeNow(), dataCentre, evacuated)) {
+        return;
+    }
+    if (evacuated) {
+        m_log.write(LogLevel::Warning, "evacuation-started",
+                    "targets of the data centre get no requests until the operator ends this",
+                    {{"dataCentre", dataCentre}});
+    } else {
+        m_log.write(LogLevel::Info, "evacuation-ended", "", {{"dataCentre", dataCentre}});
+    }
+}
+
 void StoreSync::applyConfiguration(const MetadataItem &item)
 {
     if (item.m_key != m_format.m_configurationKey) {
@@ -137,7 +184,7 @@
 void StoreSync::applyTarget(const MetadataItem &item)
 {
     const std::string_view id = std::string_view(item.m_key).substr(m_format.m_targetPrefix.size());
-    const Checked<TargetEntry> entry = m_format.m_decodeTarget(id, item.m_value);
+    Checked<TargetEntry> entry = m_format.m_decodeTarget(id, item.m_value);
     if (!entry) {
         const std::uint64_t hash = stableHash(item.m_value);
         if (m_loggedUnreadable.size() < maximumUnreadableEntries
@@ -148,6 +195,7 @@
         removeTarget(item.m_key, "unreadable");
         return;
     }
+    entry.value().m_revision = item.m_revision;
     const EntryChange change = applyEntry(m_engine.registry(), bootTimeNow(), entry.value());
     if (change == EntryChange::Changed) {
         return;
