Serve waiting requests by organisation in turn and refuse what comes too late

The queue of sub-requests that wait for a target is a module of its own. Requests without an organisation are served by priority, then by arrival, as before. Entries of ended requests are removed at once, so that they do not count as waiting.

A request of an organisation that would wait longer than until its refusal, judged by the entries ahead of it, the usual time of its route and the room at the targets of the service, is refused on arrival (503, not run), so that its caller has time for another node. A new request no longer takes room that has come with time before those that wait.

ForwardRequest gains the name and the priority of the organisation.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -93,6 +93,8 @@
 void ForwardEngine::Implementation::startSubrequest(TimePoint now, PendingRequest &pending,
                                                     std::size_t index)
 {
+    // Room that has come with time, as at a cold target, belongs to those that wait.
+    dispatchQueue(now, *pending.m_subrequests[index].m_service);
     if (sendAttempt(now, pending, index, AttemptReason::First) == SendResult::Sent) {
         return;
     }
@@ -100,13 +102,62 @@
         failSubrequest(now, pending, index, "targets-unreachable");
         return;
     }
-    std::deque<QueuedSubrequest> &queue = pending.m_subrequests[index].m_service->m_queue;
-    const QueuedSubrequest entry{pending.m_id, index, pending.m_route->m_priority};
-    queue.insert(std::upper_bound(queue.begin(), queue.end(), entry,
-                                  [](const QueuedSubrequest &left, const QueuedSubrequest &right) {
-                                      return left.m_priority < right.m_priority;
-                                  }),
-                 entry);
+    queueSubrequest(now, pending, index);
+}
+
+void ForwardEngine::Implementation::queueSubrequest(TimePoint now, PendingRequest &pending,
+                                                    std::size_t index)
+{
+    const ForwardRequest &request = *pending.m_request;
+    const QueuedSubrequest entry{
+        pending.m_id, index, request.m_organisationPriority.value_or(pending.m_route->m_priority),
+        request.m_organisation};
+    if (outlastsQueue(now, pending, index, entry)) {
+        failSubrequest(now, pending, index, "queue-too-long");
+        return;
+    }
+    if (!enqueue(pending.m_subrequests[index].m_service->m_queue, entry)) {
+        failSubrequest(now, pending, index, "queue-full");
+    }
+}
+
+bool ForwardEngine::Implementation::outlastsQueue(TimePoint now, const PendingRequest &pending,
+                                                  std::size_t index,
+                                                  const QueuedSubrequest &entry) const
+{
+    // Only where the configuration has organisations. A search may be answered without the part.
+    if (entry.m_organisation.empty() || !pending.m_route->m_shards.empty()) {
+        return false;
+    }
+    const ServiceState &service = *pending.m_subrequests[index].m_service;
+    const std::size_t ahead = entriesAhead(service.m_queue, entry.m_priority, entry.m_organisation);
+    const Duration wait = expectedWait(ahead, pending.m_routeLatency->m_typicalLatency,
+                                       availableSlots(now, pending, service));
+    return now + wait > pending.m_refuseAt;
+}
+
+int ForwardEngine::Implementation::availableSlots(TimePoint now, const PendingRequest &pending,
+                                                  const ServiceState &service) const
+{
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator targets =
+        m_registry.m_targetsByService.find(service.m_name);
+    if (targets == m_registry.m_targetsByService.end()) {
+        return 0;
+    }
+    const std::ptrdiff_t available = std::count_if(
+        targets->second.begin(), targets->second.end(), [now](const TargetPointer &target) {
+            return !target->m_down && acceptsRequests(*target, now);
+        });
+    return static_cast<int>(available) * inFlightLimit(pending, service);
+}
+
+void ForwardEngine::Implementation::removeFromQueues(const PendingRequest &pending)
+{
+    for (const Subrequest &subrequest : pending.m_subrequests) {
+        if (subrequest.m_state == SubrequestState::Queued) {
+            removeRequest(subrequest.m_service->m_queue, pending.m_id);
+        }
+    }
 }
 
 SendResult ForwardEngine::Implementation::sendAttempt(TimePoint now, PendingRequest &pending,
@@ -259,14 +310,14 @@
 
 void ForwardEngine::Implementation::dispatchQueue(TimePoint now, ServiceState &service)
 {
-    while (!service.m_queue.empty()) {
-        const QueuedSubrequest entry = service.m_queue.front();
+    while (const QueuedSubrequest *next = nextEntry(service.m_queue)) {
+        const QueuedSubrequest entry = *next;
         PendingRequest *pending = findPendingRequest(entry.m_pendingId);
         const bool needed =
             pending != nullptr
             && pending->m_subrequests[entry.m_subrequestIndex].m_state == SubrequestState::Queued;
         if (needed && outlastsShutdown(now, *pending)) {
-            service.m_queue.pop_front();
+            removeNext(service.m_queue, false);
             failSubrequest(now, *pending, entry.m_subrequestIndex, "shutting-down");
             continue;
         }
@@ -275,18 +326,16 @@
                    != SendResult::Sent) {
             return;
         }
-        service.m_queue.pop_front();
+        removeNext(service.m_queue, needed);
     }
 }
 
 void ForwardEngine::Implementation::failUnreachableQueue(TimePoint now, ServiceState &service)
 {
-    if (service.m_queue.empty() || isServiceReachable(now, service.m_name)) {
+    if (nextEntry(service.m_queue) == nullptr || isServiceReachable(now, service.m_name)) {
         return;
     }
-    const std::deque<QueuedSubrequest> queue = std::move(service.m_queue);
-    service.m_queue.clear();
-    for (const QueuedSubrequest &entry : queue) {
+    for (const QueuedSubrequest &entry : takeAll(service.m_queue)) {
         PendingRequest *pending = findPendingRequest(entry.m_pendingId);
         if (pending != nullptr
             && pending->m_subrequests[entry.m_subrequestIndex].m_state == SubrequestState::Queued) {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <deque>
 #include <queue>
 
+#include "details/subrequestqueue.h"
 #include "forwarding/forwarding.h"
 
 namespace arbutusgrade {
@@ -18,21 +18,13 @@
     Duration m_maximumTimeLeft{0}; //!< Longest time to deadline seen on this route.
 };
 
-//! @brief A sub-request that waits for an available target.
-struct QueuedSubrequest
-{
-    std::uint64_t m_pendingId = 0;
-    std::size_t m_subrequestIndex = 0;
-    int m_priority = 0;
-};
-
 struct ServiceState
 {
     std::string m_name;
     RetryBudget m_budget;
     TimePoint m_lastRequestAt;
     Duration m_requestInterval{0}; //!< Smoothed time between requests; zero before the second one.
-    std::deque<QueuedSubrequest> m_queue; //!< By priority, then by arrival.
+    SubrequestQueue m_queue;
 };
 
 enum class SubrequestState { Queued, Sent, Succeeded, Failed };
@@ -163,6 +155,12 @@
     // Attempts (attempts.cpp)
     void recordRequest(TimePoint now, ServiceState &service) const;
     void startSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
+    void queueSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
+    bool outlastsQueue(TimePoint now, const PendingRequest &pending, std::size_t index,
+                       const QueuedSubrequest &entry) const;
+    int availableSlots(TimePoint now, const PendingRequest &pending,
+                       const ServiceState &service) const;
+    void removeFromQueues(const PendingRequest &pending);
     SendResult sendAttempt(TimePoint now, PendingRequest &pending, std::size_t index,
                            AttemptReason reason);
     void sendHedge(TimePoint now, PendingRequest &pending, std::size_t index);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -223,11 +223,14 @@
     if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
-    // The request cannot end in this loop: canServe() has found enough services in reach, and no
-    // reply comes before the loop is over.
-    for (std::size_t index = 0; index < pending.m_subrequests.size(); ++index) {
+    const std::size_t count = pending.m_subrequests.size();
+    for (std::size_t index = 0; index < count; ++index) {
         recordRequest(now, *pending.m_subrequests[index].m_service);
         startSubrequest(now, pending, index);
+        // A queue that is too long or full may have ended the request.
+        if (findPendingRequest(id) == nullptr) {
+            return;
+        }
     }
 }
 
@@ -316,6 +319,9 @@
         m_output.abandon(it->first);
         it = m_attempts.erase(it);
     }
+    if (const PendingRequest *pending = findPendingRequest(id)) {
+        removeFromQueues(*pending);
+    }
     m_pendingRequests.erase(id);
     for (ServiceState *service : services) {
         dispatchQueue(now, *service);
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -347,6 +347,7 @@
     }
     m_output.record(decision);
     detachAttempts(now, pending.m_id, std::nullopt);
+    removeFromQueues(pending);
     m_pendingIdByCaller.erase(answer.m_caller);
     const std::unordered_map<std::uint64_t, std::unique_ptr<PendingRequest>>::iterator found =
         m_pendingRequests.find(pending.m_id);
--- a/libs/forwarding/tests/engineroomtest.cpp
+++ b/libs/forwarding/tests/engineroomtest.cpp
@@ -1,3 +1,5 @@
+#include <gmock/gmock.h>
+
 #include "enginefixture.h"
 
 namespace arbutusgrade {
@@ -22,6 +24,19 @@
             target->m_inFlight.assign(16, OutstandingAttempt{0, farFuture});
         }
     }
+
+    void submitFor(const std::string &organisation, std::optional<int> priority)
+    {
+        const std::shared_ptr<ForwardRequest> request = std::make_shared<ForwardRequest>();
+        request->m_caller = ++m_lastCaller;
+        request->m_requestId = organisation + "-" + std::to_string(m_lastCaller);
+        request->m_host = "h.example";
+        request->m_path = "/orders/x";
+        request->m_fingerprint = m_lastCaller;
+        request->m_organisation = organisation;
+        request->m_organisationPriority = priority;
+        m_engine.submit(m_now, request);
+    }
 };
 
 } // namespace
@@ -105,4 +120,45 @@
     }
 }
 
+// Guards against a request that waits although those ahead of it take longer than it may wait, and
+// against such a refusal of more urgent ones.
+TEST_F(EngineRoom, RefusesAtOnceWhatCannotBeServedInTime)
+{
+    m_table.m_routes[1].m_priority = 1;
+    applyTable(2);
+    fillTargets("orders");
+    // The usual time is 67 ms, there are 12 slots, and a request may wait for 98 ms.
+    constexpr std::size_t served = 17;
+    for (std::size_t request = 0; request < served; ++request) {
+        submitFor("large", std::nullopt);
+    }
+    EXPECT_TRUE(m_output.m_answers.empty());
+    submitFor("large", std::nullopt);
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_kind, AnswerKind::Refused);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 503);
+    submitFor("large", 0);
+    submitFor("small", std::nullopt);
+    submitFor("", std::nullopt);
+    EXPECT_EQ(m_output.m_answers.size(), 1U);
+}
+
+// Guards against one organisation's backlog that is served before the requests of others, and
+// against a priority of an organisation that does not override the one of the route.
+TEST_F(EngineRoom, FreedRoomGoesToOrganisationsInTurn)
+{
+    fillTargets("orders");
+    submitFor("large", 1);
+    submitFor("large", 1);
+    submitFor("small", 1);
+    submitFor("urgent", 0);
+    m_engine.registry().m_targets["ordersa"]->m_inFlight.clear();
+    m_engine.registryChanged(m_now);
+    std::vector<std::string> organisations;
+    for (const ForwardCommand &order : m_output.m_orders) {
+        organisations.push_back(order.m_request->m_organisation);
+    }
+    EXPECT_THAT(organisations, testing::ElementsAre("urgent", "large", "small", "large"));
+}
+
 } // namespace arbutusgrade
