Keep a part of the retry budget for more urgent requests

The budget of extra attempts is one for each service. A less urgent kind of request whose attempts fail could use all of it, so that a more urgent kind had no retry or hedge left. Extra attempts are now counted by priority (four levels). What more urgent requests have earned by their first attempts and not used is kept for them, and half of the slack while there are any in the window. The limit for all kinds together is unchanged; with a single priority, nothing changes.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -311,24 +311,31 @@
 struct RetryBudget
 {
     static constexpr std::size_t bucketCount = 21; //!< One window and the current bucket.
+    static constexpr std::size_t levelCount = 4;   //!< Lower priorities count as the last one.
 
     struct Bucket
     {
         std::int64_t m_index = -1;
-        std::uint32_t m_firstAttempts = 0;
-        std::uint32_t m_extraAttempts = 0;
+        std::array<std::uint32_t, levelCount> m_firstAttempts{}; //!< By priority.
+        std::array<std::uint32_t, levelCount> m_extraAttempts{}; //!< By priority.
     };
     std::array<Bucket, bucketCount> m_buckets{};
 };
 
-void recordFirstAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now);
-void recordExtraAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now);
+void recordFirstAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
+                        int priority = 0);
+void recordExtraAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
+                        int priority = 0);
 
 //! @brief Returns whether another retry or hedge stays within this node's share of the limits.
+//!
+//! What more urgent requests have earned by their first attempts and not used is kept for them, and
+//! half of the slack while there are any.
 //! @param started Start time of this process. The attempts of the previous process are unknown, so
 //! only half of the slack is available during the first window.
+//! @param priority of the request, 0 is the highest.
 bool allowsExtraAttempt(const RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
-                        TimePoint started);
+                        TimePoint started, int priority = 0);
 
 // Records ----------------------------------------------------------------------------------------
 
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -54,6 +54,11 @@
 
 } // namespace
 
+int priorityOf(const PendingRequest &pending)
+{
+    return pending.m_request->m_organisationPriority.value_or(pending.m_route->m_priority);
+}
+
 int ForwardEngine::Implementation::inFlightLimit(const PendingRequest &pending,
                                                  const ServiceState &service) const
 {
@@ -77,9 +82,10 @@
                           m_options.m_budget.m_nodes};
 }
 
-void ForwardEngine::Implementation::recordRequest(TimePoint now, ServiceState &service) const
+void ForwardEngine::Implementation::recordRequest(TimePoint now, const PendingRequest &pending,
+                                                  ServiceState &service) const
 {
-    recordFirstAttempt(service.m_budget, m_options.m_budget, now);
+    recordFirstAttempt(service.m_budget, m_options.m_budget, now, priorityOf(pending));
     if (service.m_lastRequestAt != TimePoint()) {
         const Duration interval = now - service.m_lastRequestAt;
         service.m_requestInterval =
@@ -108,10 +114,8 @@
 void ForwardEngine::Implementation::queueSubrequest(TimePoint now, PendingRequest &pending,
                                                     std::size_t index)
 {
-    const ForwardRequest &request = *pending.m_request;
-    const QueuedSubrequest entry{
-        pending.m_id, index, request.m_organisationPriority.value_or(pending.m_route->m_priority),
-        request.m_organisation};
+    const QueuedSubrequest entry{pending.m_id, index, priorityOf(pending),
+                                 pending.m_request->m_organisation};
     if (outlastsQueue(now, pending, index, entry)) {
         failSubrequest(now, pending, index, "queue-too-long");
         return;
@@ -183,11 +187,12 @@
     }
     if (subrequest.m_possibleDeliveries > 0) {
         if (!allowsExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
-                                m_startedAt)) {
+                                m_startedAt, priorityOf(pending))) {
             ++m_statistics.m_budgetDenied;
             return SendResult::NoBudget;
         }
-        recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now);
+        recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
+                           priorityOf(pending));
     }
     if (criteria.m_warmup) {
         recordColdRequest(*target, now, criteria.m_warmup->m_limit);
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -153,7 +153,7 @@
     RouteLatency &routeLatency(const Route &route);
 
     // Attempts (attempts.cpp)
-    void recordRequest(TimePoint now, ServiceState &service) const;
+    void recordRequest(TimePoint now, const PendingRequest &pending, ServiceState &service) const;
     void startSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
     void queueSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
     bool outlastsQueue(TimePoint now, const PendingRequest &pending, std::size_t index,
@@ -221,6 +221,9 @@
 //! @brief Adds the latency of a successful attempt to the statistics of its route.
 void recordRouteLatency(RouteLatency &statistics, Duration latency);
 
+//! @brief Priority of the request: that of its organisation, otherwise that of its route.
+int priorityOf(const PendingRequest &pending);
+
 //! @brief Returns whether a target has replied to a single request with an error, which is a final
 //! answer. The parts of a search are never relayed.
 bool hasReplyToRelay(const PendingRequest &pending);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -225,7 +225,7 @@
     }
     const std::size_t count = pending.m_subrequests.size();
     for (std::size_t index = 0; index < count; ++index) {
-        recordRequest(now, *pending.m_subrequests[index].m_service);
+        recordRequest(now, pending, *pending.m_subrequests[index].m_service);
         startSubrequest(now, pending, index);
         // A queue that is too long or full may have ended the request.
         if (findPendingRequest(id) == nullptr) {
--- a/libs/forwarding/tests/budgettest.cpp
+++ b/libs/forwarding/tests/budgettest.cpp
@@ -60,4 +60,40 @@
     EXPECT_EQ(countAllowed(start - 1s), countAllowed(start - 11s) / 2);
 }
 
+// Guards against a less urgent kind of request whose retries use up the budget, so that a more
+// urgent kind of the same service has fewer than it has earned, or no part of the slack.
+TEST(RetryBudget, LessUrgentRequestsLeaveTheMoreUrgentOnesTheirPart)
+{
+    constexpr int steps = 1200;
+    constexpr int firstStepOfRetries = 240; // A full window has first attempts.
+    for (const RetryBudgetLimits &limits :
+         {RetryBudgetLimits{0.2, 0.0, 10s, 1}, RetryBudgetLimits{0.0, 40.0, 10s, 1}}) {
+        RetryBudget budget;
+        int urgentDenied = 0;
+        int lessUrgentAllowed = 0;
+        // Each of the less urgent requests wants a retry, and one in eight of the urgent ones.
+        for (int step = 0; step < steps; ++step) {
+            const TimePoint now = start + step * 50ms;
+            recordFirstAttempt(budget, limits, now, 2);
+            if (allowsExtraAttempt(budget, limits, now, processStart, 2)) {
+                recordExtraAttempt(budget, limits, now, 2);
+                ++lessUrgentAllowed;
+            }
+            if (step % 10 == 3) {
+                recordFirstAttempt(budget, limits, now, 0);
+            }
+            if (step % 80 != 3 || step < firstStepOfRetries) {
+                continue;
+            }
+            if (allowsExtraAttempt(budget, limits, now, processStart, 0)) {
+                recordExtraAttempt(budget, limits, now, 0);
+            } else {
+                ++urgentDenied;
+            }
+        }
+        EXPECT_EQ(urgentDenied, 0) << "ratio " << limits.m_ratio;
+        EXPECT_GE(lessUrgentAllowed, 80) << "ratio " << limits.m_ratio;
+    }
+}
+
 } // namespace arbutusgrade
