Leave freed room to more urgent requests that wait

When a target refused a request, its retry was sent before the queue was served. Where no other target had room, it took the place that had just become free, while a more urgent request of the same service went on waiting. Retries and hedges now wait while a more urgent request is queued. EngineRoom.RetriesLeaveFreedRoomToMoreUrgentRequests failed before; forwarding-test passes, 99 of 99.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -233,6 +233,13 @@
     return SendResult::Sent;
 }
 
+bool ForwardEngine::Implementation::moreUrgentWaits(const PendingRequest &pending,
+                                                    const ServiceState &service)
+{
+    const QueuedSubrequest *next = nextEntry(service.m_queue);
+    return next != nullptr && next->m_priority < priorityOf(pending);
+}
+
 void ForwardEngine::Implementation::sendHedge(TimePoint now, PendingRequest &pending,
                                               std::size_t index)
 {
@@ -244,7 +251,8 @@
     if (!isHedgeable) {
         return;
     }
-    if (sendAttempt(now, pending, index, AttemptReason::Hedge) != SendResult::Sent) {
+    if (moreUrgentWaits(pending, *subrequest.m_service)
+        || sendAttempt(now, pending, index, AttemptReason::Hedge) != SendResult::Sent) {
         addTimer(now + hedgeRecheckInterval, TimerKind::Hedge, pending.m_id, index);
     }
 }
@@ -288,8 +296,10 @@
         failSubrequest(now, pending, index, "shutting-down");
         return;
     }
-    SendResult result = sendAttempt(now, pending, index, AttemptReason::Retry);
-    if (result == SendResult::NoTarget
+    const bool waits = moreUrgentWaits(pending, *subrequest.m_service);
+    SendResult result =
+        waits ? SendResult::NoTarget : sendAttempt(now, pending, index, AttemptReason::Retry);
+    if (!waits && result == SendResult::NoTarget
         && subrequest.m_repeatableTargets < subrequest.m_triedTargetIds.size()) {
         // All targets have been tried; the one that failed first may have recovered.
         ++subrequest.m_repeatableTargets;
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -163,6 +163,8 @@
     void removeFromQueues(const PendingRequest &pending);
     SendResult sendAttempt(TimePoint now, PendingRequest &pending, std::size_t index,
                            AttemptReason reason);
+    //! @brief Returns whether the room at the targets belongs to a more urgent request that waits.
+    static bool moreUrgentWaits(const PendingRequest &pending, const ServiceState &service);
     void sendHedge(TimePoint now, PendingRequest &pending, std::size_t index);
     void scheduleStragglerHedges(TimePoint now, PendingRequest &pending);
     void sendRetry(TimePoint now, PendingRequest &pending, std::size_t index);
--- a/libs/forwarding/tests/engineroomtest.cpp
+++ b/libs/forwarding/tests/engineroomtest.cpp
@@ -161,4 +161,24 @@
     EXPECT_THAT(organisations, testing::ElementsAre("urgent", "large", "small", "large"));
 }
 
+// Guards against the retry of a less urgent request that takes the room at a target before a more
+// urgent request that waits for it.
+TEST_F(EngineRoom, RetriesLeaveFreedRoomToMoreUrgentRequests)
+{
+    m_table.m_connectionLimits["orders"] = 1;
+    applyTable(2);
+    for (const std::string id : {"ordersb", "ordersc"}) {
+        m_engine.registry().m_targets[id]->m_down = true;
+    }
+    submitFor("less", 1);
+    submitFor("urgent", 0);
+    ASSERT_EQ(m_output.m_orders.size(), 1U);
+    replyStatus(m_output.m_orders[0], 503, true);
+    ASSERT_EQ(m_output.m_orders.size(), 2U);
+    EXPECT_EQ(lastOrder().m_request->m_organisation, "urgent");
+    replySuccess(lastOrder());
+    advanceTime(30ms);
+    EXPECT_EQ(lastOrder().m_request->m_organisation, "less");
+}
+
 } // namespace arbutusgrade
