--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -83,12 +84,22 @@
     Duration m_idleTimeout = std::chrono::seconds(15);
 };
 
+//! @brief Limit on requests to targets of a service that are cold, for all nodes together.
+struct WarmupLimit
+{
+    double m_requestsPerSecond = 0.0; //!< For each target.
+    //! How long a target counts as cold after the evacuation of its data centre, unless its entry
+    //! is written again before.
+    Duration m_duration{0};
+};
+
 //! @brief A version of the routing configuration. Immutable once the engine uses it.
 struct RoutingTable
 {
     std::uint64_t m_version = 0;
     std::vector<Route> m_routes;
-    std::unordered_map<std::string, int> m_connectionLimits; //!< By service, for all nodes.
+    std::unordered_map<std::string, int> m_connectionLimits;     //!< By service, for all nodes.
+    std::unordered_map<std::string, WarmupLimit> m_warmupLimits; //!< By service; absent: no limit.
     CallerLimits m_limits;
     //! Requests need an API key. May be true without organisations, when the last one is removed.
     bool m_definesOrganisations = false;
@@ -156,7 +167,8 @@
     int m_slots = 1;
     bool m_draining = false;
     Duration m_warmupRemaining{0};
-    std::int64_t m_started = 0; //!< Start time, Unix milliseconds; identifies the process.
+    std::int64_t m_started = 0;   //!< Start time, Unix milliseconds; identifies the process.
+    std::uint64_t m_revision = 0; //!< Of the store when the entry was written.
 };
 
 //! @brief An attempt that has been sent to a target and has not ended.
@@ -181,6 +193,10 @@
     bool m_removed = false;         //!< No longer in the registry.
     TimePoint m_removalEffectiveAt; //!< For removed targets.
     TimePoint m_warmupEnd;          //!< The target may be slower before this time.
+    bool m_evacuated = false;       //!< Its data centre gets no requests.
+    //! End of the evacuation of its data centre; empty once its entry has been written again.
+    std::optional<TimePoint> m_evacuationEndedAt;
+    std::vector<TimePoint> m_coldRequests; //!< Sent in the last second while it was cold.
     //! From 0 to 1, lower for the targets that this node prefers; nodes prefer different ones.
     double m_tieBreaker = 0.0;
     std::vector<OutstandingAttempt> m_inFlight;
@@ -214,6 +230,7 @@
     std::string m_node;                                       //!< Name of this node.
     std::unordered_map<std::string, TargetPointer> m_targets; //!< By id.
     std::unordered_map<std::string, std::vector<TargetPointer>> m_targetsByService;
+    std::set<std::string> m_evacuatedDataCentres;
     bool m_storeUnavailable = false;
     TimePoint m_storeRecoveryGraceEnd; //!< Earliest end of use after a removal.
 };
@@ -238,6 +255,12 @@
 //! @brief Lets the removals of a store outage take effect after storeRecoveryGracePeriod.
 void markStoreAvailable(TargetRegistry &registry, TimePoint now);
 
+//! @brief Starts or ends the evacuation of a data centre: its targets get no new attempt and no
+//! probe. Also applies to targets that are added later.
+//! @return false if nothing changes.
+bool setEvacuated(TargetRegistry &registry, TimePoint now, const std::string &dataCentre,
+                  bool evacuated);
+
 //! @brief Returns whether new requests may be sent to the target. Also true for a target that is
 //! down.
 bool acceptsRequests(const Target &target, TimePoint now);
@@ -245,6 +268,54 @@
 //! @brief Erases targets whose removal has taken effect; call periodically.
 void purgeRemovedTargets(TargetRegistry &registry, TimePoint now);
 
+// Requests to cold targets -----------------------------------------------------------------------
+
+//! @brief Excess over the request rate of cold targets that is permitted.
+struct WarmupTolerance
+{
+    double m_overage = 1.0; //!< Factor on the rate.
+    double m_slack = 0.0;   //!< Requests a second on top of that.
+};
+
+//! @brief Returns the number of requests that all nodes together send to a cold target in a second:
+//! half of what the limit permits.
+//!
+//! Requests that a node sends one second apart may arrive less than a second apart, so that a
+//! second at the target may hold two seconds of the nodes. The half also covers nodes that have
+//! two different lists of the nodes, as after a partition.
+int warmupShares(const WarmupLimit &limit, const WarmupTolerance &tolerance);
+
+//! @brief Returns how many requests a node may send to a cold target in any second of its own
+//! clock.
+//!
+//! The shares are dealt to the nodes in rendezvous order for the target, so that nodes with the
+//! same list hold exactly `shares` between them. The order does not depend on the time: clocks of
+//! different nodes are never compared.
+//! @param nodes names of all nodes; a node that is not among them has no share.
+//! @param nodeCount number of nodes that may be running, at least as many as there are names.
+int warmupShareOfNode(int shares, std::string_view target, std::string_view node,
+                      std::span<const std::string> nodes, int nodeCount);
+
+//! @brief What a choice of targets needs to keep the limit of a service for cold targets.
+struct WarmupCriteria
+{
+    WarmupLimit m_limit;
+    WarmupTolerance m_tolerance;
+    std::string_view m_node; //!< This node.
+    std::span<const std::string> m_nodes;
+    int m_nodeCount = 1;
+};
+
+//! @brief Returns whether the target is cold.
+bool isCold(const Target &target, TimePoint now, const WarmupLimit &limit);
+
+//! @brief Returns whether this node may send another request to the target now. Always true for
+//! targets that are not cold.
+bool allowsColdRequest(const Target &target, TimePoint now, const WarmupCriteria &criteria);
+
+//! @brief Records a request to a target if it is cold.
+void recordColdRequest(Target &target, TimePoint now, const WarmupLimit &limit);
+
 // Target selection -------------------------------------------------------------------------------
 
 //! @brief Criteria for selecting a target.
@@ -257,6 +328,7 @@
     //! Smoothed time between requests of this node to the service; zero if not known. Statistics of
     //! targets are kept the longer, the fewer requests there are to renew them.
     Duration m_requestInterval{0};
+    std::optional<WarmupCriteria> m_warmup; //!< For services with a limit for cold targets.
 };
 
 //! @brief Returns the target with the lowest expected cost, or null if none is eligible.
@@ -302,24 +374,31 @@
 struct RetryBudget
 {
     static constexpr std::size_t bucketCount = 21; //!< One window and the current bucket.
+    static constexpr std::size_t levelCount = 4;   //!< Lower priorities count as the last one.
 
     struct Bucket
     {
         std::int64_t m_index = -1;
-        std::uint32_t m_firstAttempts = 0;
-        std::uint32_t m_extraAttempts = 0;
+        std::array<std::uint32_t, levelCount> m_firstAttempts{}; //!< By priority.
+        std::array<std::uint32_t, levelCount> m_extraAttempts{}; //!< By priority.
     };
     std::array<Bucket, bucketCount> m_buckets{};
 };
 
-void recordFirstAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now);
-void recordExtraAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now);
+void recordFirstAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
+                        int priority = 0);
+void recordExtraAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
+                        int priority = 0);
 
 //! @brief Returns whether another retry or hedge stays within this node's share of the limits.
+//!
+//! What more urgent requests have earned by their first attempts and not used is kept for them, and
+//! half of the slack while there are any.
 //! @param started Start time of this process. The attempts of the previous process are unknown, so
 //! only half of the slack is available during the first window.
+//! @param priority of the request, 0 is the highest.
 bool allowsExtraAttempt(const RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
-                        TimePoint started);
+                        TimePoint started, int priority = 0);
 
 // Records ----------------------------------------------------------------------------------------
 
@@ -570,6 +649,7 @@
     std::string m_node;
     std::string m_dataCentre;
     RetryBudgetLimits m_budget;
+    WarmupTolerance m_warmup;
 };
 
 struct ForwardStatistics
@@ -616,6 +696,9 @@
     //! @brief Sets the number of nodes that share the limits of the targets.
     void setNodeCount(int nodes);
 
+    //! @brief Sets the names of all nodes, which share the requests to cold targets.
+    void setNodes(std::vector<std::string> names);
+
     void submit(TimePoint now, const ForwardRequestPointer &request);
 
     //! @brief Answers a request that is not forwarded. It is counted and logged like others.
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -54,6 +54,11 @@
 
 } // namespace
 
+int priorityOf(const PendingRequest &pending)
+{
+    return pending.m_request->m_priority.value_or(pending.m_route->m_priority);
+}
+
 int ForwardEngine::Implementation::inFlightLimit(const PendingRequest &pending,
                                                  const ServiceState &service) const
 {
@@ -65,9 +70,22 @@
     return std::clamp(limit / m_options.m_budget.m_nodes, 1, maximumInFlightPerTarget);
 }
 
-void ForwardEngine::Implementation::recordRequest(TimePoint now, ServiceState &service) const
+std::optional<WarmupCriteria> ForwardEngine::Implementation::warmupCriteria(
+    const PendingRequest &pending, const ServiceState &service) const
 {
-    recordFirstAttempt(service.m_budget, m_options.m_budget, now);
+    const std::unordered_map<std::string, WarmupLimit>::const_iterator found =
+        pending.m_routingTable->m_warmupLimits.find(service.m_name);
+    if (found == pending.m_routingTable->m_warmupLimits.end()) {
+        return std::nullopt;
+    }
+    return WarmupCriteria{found->second, m_options.m_warmup, m_options.m_node, m_nodes,
+                          m_options.m_budget.m_nodes};
+}
+
+void ForwardEngine::Implementation::recordRequest(TimePoint now, const PendingRequest &pending,
+                                                  ServiceState &service) const
+{
+    recordFirstAttempt(service.m_budget, m_options.m_budget, now, priorityOf(pending));
     if (service.m_lastRequestAt != TimePoint()) {
         const Duration interval = now - service.m_lastRequestAt;
         service.m_requestInterval =
@@ -81,6 +99,8 @@
 void ForwardEngine::Implementation::startSubrequest(TimePoint now, PendingRequest &pending,
                                                     std::size_t index)
 {
+    // Room that has come with time, as at a cold target, belongs to those that wait.
+    dispatchQueue(now, *pending.m_subrequests[index].m_service);
     if (sendAttempt(now, pending, index, AttemptReason::First) == SendResult::Sent) {
         return;
     }
@@ -88,14 +108,60 @@
         failSubrequest(now, pending, index, "targets-unreachable");
         return;
     }
-    std::deque<QueuedSubrequest> &queue = pending.m_subrequests[index].m_service->m_queue;
-    const int priority = pending.m_request->m_priority.value_or(pending.m_route->m_priority);
-    const QueuedSubrequest entry{pending.m_id, index, priority};
-    queue.insert(std::upper_bound(queue.begin(), queue.end(), entry,
-                                  [](const QueuedSubrequest &left, const QueuedSubrequest &right) {
-                                      return left.m_priority < right.m_priority;
-                                  }),
-                 entry);
+    queueSubrequest(now, pending, index);
+}
+
+void ForwardEngine::Implementation::queueSubrequest(TimePoint now, PendingRequest &pending,
+                                                    std::size_t index)
+{
+    const QueuedSubrequest entry{pending.m_id, index, priorityOf(pending),
+                                 pending.m_request->m_organisation};
+    if (outlastsQueue(now, pending, index, entry)) {
+        failSubrequest(now, pending, index, "queue-too-long");
+        return;
+    }
+    if (!enqueue(pending.m_subrequests[index].m_service->m_queue, entry)) {
+        failSubrequest(now, pending, index, "queue-full");
+    }
+}
+
+bool ForwardEngine::Implementation::outlastsQueue(TimePoint now, const PendingRequest &pending,
+                                                  std::size_t index,
+                                                  const QueuedSubrequest &entry) const
+{
+    // Only where the configuration has organisations. A search may be answered without the part.
+    if (entry.m_organisation.empty() || !pending.m_route->m_shards.empty()) {
+        return false;
+    }
+    const ServiceState &service = *pending.m_subrequests[index].m_service;
+    const std::size_t ahead = entriesAhead(service.m_queue, entry.m_priority, entry.m_organisation);
+    const Duration wait = expectedWait(ahead, pending.m_routeLatency->m_typicalLatency,
+                                       availableSlots(now, pending, service));
+    return now + wait > pending.m_refuseAt;
+}
+
+int ForwardEngine::Implementation::availableSlots(TimePoint now, const PendingRequest &pending,
+                                                  const ServiceState &service) const
+{
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator targets =
+        m_registry.m_targetsByService.find(service.m_name);
+    if (targets == m_registry.m_targetsByService.end()) {
+        return 0;
+    }
+    const std::ptrdiff_t available = std::count_if(
+        targets->second.begin(), targets->second.end(), [now](const TargetPointer &target) {
+            return !target->m_down && acceptsRequests(*target, now);
+        });
+    return static_cast<int>(available) * inFlightLimit(pending, service);
+}
+
+void ForwardEngine::Implementation::removeFromQueues(const PendingRequest &pending)
+{
+    for (const Subrequest &subrequest : pending.m_subrequests) {
+        if (subrequest.m_state == SubrequestState::Queued) {
+            removeRequest(subrequest.m_service->m_queue, pending.m_id);
+        }
+    }
 }
 
 SendResult ForwardEngine::Implementation::sendAttempt(TimePoint now, PendingRequest &pending,
@@ -114,17 +180,22 @@
     criteria.m_inFlightLimit = inFlightLimit(pending, *subrequest.m_service);
     criteria.m_requestInterval = subrequest.m_service->m_requestInterval;
     criteria.m_healthyOnly = reason == AttemptReason::Hedge;
+    criteria.m_warmup = warmupCriteria(pending, *subrequest.m_service);
     const TargetPointer target = selectTarget(targets->second, now, criteria);
     if (!target) {
         return SendResult::NoTarget;
     }
     if (subrequest.m_possibleDeliveries > 0) {
         if (!allowsExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
-                                m_startedAt)) {
+                                m_startedAt, priorityOf(pending))) {
             ++m_statistics.m_budgetDenied;
             return SendResult::NoBudget;
         }
-        recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now);
+        recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
+                           priorityOf(pending));
+    }
+    if (criteria.m_warmup) {
+        recordColdRequest(*target, now, criteria.m_warmup->m_limit);
     }
     const std::uint64_t id = ++m_lastId;
     target->m_inFlight.push_back(
@@ -162,6 +233,13 @@
     return SendResult::Sent;
 }
 
+bool ForwardEngine::Implementation::moreUrgentWaits(const PendingRequest &pending,
+                                                    const ServiceState &service)
+{
+    const QueuedSubrequest *next = nextEntry(service.m_queue);
+    return next != nullptr && next->m_priority < priorityOf(pending);
+}
+
 void ForwardEngine::Implementation::sendHedge(TimePoint now, PendingRequest &pending,
                                               std::size_t index)
 {
@@ -173,7 +251,8 @@
     if (!isHedgeable) {
         return;
     }
-    if (sendAttempt(now, pending, index, AttemptReason::Hedge) != SendResult::Sent) {
+    if (moreUrgentWaits(pending, *subrequest.m_service)
+        || sendAttempt(now, pending, index, AttemptReason::Hedge) != SendResult::Sent) {
         addTimer(now + hedgeRecheckInterval, TimerKind::Hedge, pending.m_id, index);
     }
 }
@@ -217,8 +296,10 @@
         failSubrequest(now, pending, index, "shutting-down");
         return;
     }
-    SendResult result = sendAttempt(now, pending, index, AttemptReason::Retry);
-    if (result == SendResult::NoTarget
+    const bool waits = moreUrgentWaits(pending, *subrequest.m_service);
+    SendResult result =
+        waits ? SendResult::NoTarget : sendAttempt(now, pending, index, AttemptReason::Retry);
+    if (!waits && result == SendResult::NoTarget
         && subrequest.m_repeatableTargets < subrequest.m_triedTargetIds.size()) {
         // All targets have been tried; the one that failed first may have recovered.
         ++subrequest.m_repeatableTargets;
@@ -244,14 +325,14 @@
 
 void ForwardEngine::Implementation::dispatchQueue(TimePoint now, ServiceState &service)
 {
-    while (!service.m_queue.empty()) {
-        const QueuedSubrequest entry = service.m_queue.front();
+    while (const QueuedSubrequest *next = nextEntry(service.m_queue)) {
+        const QueuedSubrequest entry = *next;
         PendingRequest *pending = findPendingRequest(entry.m_pendingId);
         const bool needed =
             pending != nullptr
             && pending->m_subrequests[entry.m_subrequestIndex].m_state == SubrequestState::Queued;
         if (needed && outlastsShutdown(now, *pending)) {
-            service.m_queue.pop_front();
+            removeNext(service.m_queue, false);
             failSubrequest(now, *pending, entry.m_subrequestIndex, "shutting-down");
             continue;
         }
@@ -260,18 +341,16 @@
                    != SendResult::Sent) {
             return;
         }
-        service.m_queue.pop_front();
+        removeNext(service.m_queue, needed);
     }
 }
 
 void ForwardEngine::Implementation::failUnreachableQueue(TimePoint now, ServiceState &service)
 {
-    if (service.m_queue.empty() || isServiceReachable(now, service.m_name)) {
+    if (nextEntry(service.m_queue) == nullptr || isServiceReachable(now, service.m_name)) {
         return;
     }
-    const std::deque<QueuedSubrequest> queue = std::move(service.m_queue);
-    service.m_queue.clear();
-    for (const QueuedSubrequest &entry : queue) {
+    for (const QueuedSubrequest &entry : takeAll(service.m_queue)) {
         PendingRequest *pending = findPendingRequest(entry.m_pendingId);
         if (pending != nullptr
             && pending->m_subrequests[entry.m_subrequestIndex].m_state == SubrequestState::Queued) {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <deque>
 #include <queue>
 
+#include "details/subrequestqueue.h"
 #include "forwarding/forwarding.h"
 
 namespace arbutusgrade {
@@ -18,21 +18,13 @@
     Duration m_maximumTimeLeft{0}; //!< Longest time to deadline seen on this route.
 };
 
-//! @brief A sub-request that waits for an available target.
-struct QueuedSubrequest
-{
-    std::uint64_t m_pendingId = 0;
-    std::size_t m_subrequestIndex = 0;
-    int m_priority = 0;
-};
-
 struct ServiceState
 {
     std::string m_name;
     RetryBudget m_budget;
     TimePoint m_lastRequestAt;
     Duration m_requestInterval{0}; //!< Smoothed time between requests; zero before the second one.
-    std::deque<QueuedSubrequest> m_queue; //!< By priority, then by arrival.
+    SubrequestQueue m_queue;
 };
 
 enum class SubrequestState { Queued, Sent, Succeeded, Failed };
@@ -144,6 +136,8 @@
     // Reachability (reachability.cpp)
     bool canServe(TimePoint now, const Route &route, const ServiceState *singleService) const;
     bool isServiceReachable(TimePoint now, const std::string &service) const;
+    bool hasEvacuatedTarget(const std::string &service) const;
+    bool isAffectedByEvacuation(const Route &route, const ServiceState *singleService) const;
     void probeDownTargets(TimePoint now);
     void recordConnectFailure(TimePoint now, Target &target);
     void recordRemoteContact(TimePoint now, const Target &target, bool connected);
@@ -159,16 +153,26 @@
     RouteLatency &routeLatency(const Route &route);
 
     // Attempts (attempts.cpp)
-    void recordRequest(TimePoint now, ServiceState &service) const;
+    void recordRequest(TimePoint now, const PendingRequest &pending, ServiceState &service) const;
     void startSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
+    void queueSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
+    bool outlastsQueue(TimePoint now, const PendingRequest &pending, std::size_t index,
+                       const QueuedSubrequest &entry) const;
+    int availableSlots(TimePoint now, const PendingRequest &pending,
+                       const ServiceState &service) const;
+    void removeFromQueues(const PendingRequest &pending);
     SendResult sendAttempt(TimePoint now, PendingRequest &pending, std::size_t index,
                            AttemptReason reason);
+    //! @brief Returns whether the room at the targets belongs to a more urgent request that waits.
+    static bool moreUrgentWaits(const PendingRequest &pending, const ServiceState &service);
     void sendHedge(TimePoint now, PendingRequest &pending, std::size_t index);
     void scheduleStragglerHedges(TimePoint now, PendingRequest &pending);
     void sendRetry(TimePoint now, PendingRequest &pending, std::size_t index);
     bool canRetry(const PendingRequest &pending, const Subrequest &subrequest) const;
     void dispatchQueue(TimePoint now, ServiceState &service);
     void failUnreachableQueue(TimePoint now, ServiceState &service);
+    std::optional<WarmupCriteria> warmupCriteria(const PendingRequest &pending,
+                                                 const ServiceState &service) const;
     int inFlightLimit(const PendingRequest &pending, const ServiceState &service) const;
     void detachAttempts(TimePoint now, std::uint64_t pendingId,
                         std::optional<std::size_t> subrequestIndex);
@@ -199,6 +203,7 @@
     std::optional<ShutdownSchedule> m_shutdown; //!< Empty until a planned stop begins.
     ForwardOutput &m_output;
     RoutingTablePointer m_routingTable;
+    std::vector<std::string> m_nodes; //!< Names of all nodes.
     TargetRegistry m_registry;
     CrashTable m_crashes;
     ForwardStatistics m_statistics;
@@ -218,6 +223,9 @@
 //! @brief Adds the latency of a successful attempt to the statistics of its route.
 void recordRouteLatency(RouteLatency &statistics, Duration latency);
 
+//! @brief Priority of the request: that of its organisation, otherwise that of its route.
+int priorityOf(const PendingRequest &pending);
+
 //! @brief Returns whether a target has replied to a single request with an error, which is a final
 //! answer. The parts of a search are never relayed.
 bool hasReplyToRelay(const PendingRequest &pending);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -75,6 +75,11 @@
     m_implementation->m_options.m_budget.m_nodes = std::max(1, nodes);
 }
 
+void ForwardEngine::setNodes(std::vector<std::string> names)
+{
+    m_implementation->m_nodes = std::move(names);
+}
+
 void ForwardEngine::submit(TimePoint now, const ForwardRequestPointer &request)
 {
     m_implementation->submit(now, request);
@@ -214,7 +219,10 @@
     const ServiceState *singleService =
         route.m_shards.empty() ? pending.m_subrequests.front().m_service : nullptr;
     if (!canServe(now, route, singleService)) {
-        m_unreachableUntil = now + unreachablePeriod;
+        // Other nodes leave the evacuated targets alone as well.
+        if (!isAffectedByEvacuation(route, singleService)) {
+            m_unreachableUntil = now + unreachablePeriod;
+        }
         refuseRequest(*request,
                       {AnswerKind::Refused, 503, "targets-unreachable", unreachableRetryAfter, {}});
         return;
@@ -233,11 +241,14 @@
     if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
-    // The request cannot end in this loop: canServe() has found enough services in reach, and no
-    // reply comes before the loop is over.
-    for (std::size_t index = 0; index < pending.m_subrequests.size(); ++index) {
-        recordRequest(now, *pending.m_subrequests[index].m_service);
+    const std::size_t count = pending.m_subrequests.size();
+    for (std::size_t index = 0; index < count; ++index) {
+        recordRequest(now, pending, *pending.m_subrequests[index].m_service);
         startSubrequest(now, pending, index);
+        // A queue that is too long or full may have ended the request.
+        if (findPendingRequest(id) == nullptr) {
+            return;
+        }
     }
 }
 
@@ -326,6 +337,9 @@
         m_output.abandon(it->first);
         it = m_attempts.erase(it);
     }
+    if (const PendingRequest *pending = findPendingRequest(id)) {
+        removeFromQueues(*pending);
+    }
     m_pendingRequests.erase(id);
     for (ServiceState *service : services) {
         dispatchQueue(now, *service);
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -60,6 +60,9 @@
         return m_revision;
     }
 
+    //! @brief Names of the registered nodes.
+    std::vector<std::string> nodeNames() const;
+
 private:
     void createLease();
     void writeRegistration();
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -31,7 +31,8 @@
     return options;
 }
 
-ForwardOptions engineOptions(const GatewaySettings &settings)
+ForwardOptions engineOptions(const GatewaySettings &settings,
+                             const CoordinationSettings &coordination)
 {
     ForwardOptions options;
     options.m_node = settings.m_node;
@@ -39,6 +40,7 @@
     options.m_budget.m_ratio = settings.m_extraArrivalRatio;
     options.m_budget.m_slack = settings.m_extraArrivalSlack;
     options.m_budget.m_window = settings.m_extraArrivalWindow;
+    options.m_warmup = coordination.m_warmup.value_or(WarmupTolerance{});
     return options;
 }
 
@@ -79,6 +81,10 @@
 {
     std::vector<OrganisationLimit> limits;
     for (const Organisation &organisation : table.m_organisations) {
+        // Without a rate there is no limit, whatever the burst.
+        if (organisation.m_ratePerSecond <= 0.0) {
+            continue;
+        }
         limits.push_back(OrganisationLimit{
             organisation.m_name, QuotaLimit{organisation.m_ratePerSecond, organisation.m_burst}});
     }
@@ -114,7 +120,7 @@
                                             const DeploymentFormat &format, MetadataStore &store,
                                             Log &log, const CoordinationSettings &coordination)
     : m_context(context), m_settings(settings), m_format(format), m_log(log),
-      m_engine(engineOptions(settings), bootTimeNow(), *this),
+      m_engine(engineOptions(settings, coordination), bootTimeNow(), *this),
       m_client(context, ForwardClientOptions{}),
       m_callerServer(context, callerOptions(CallerLimits{})),
       m_readinessServer(context, HttpServerOptions{}),
@@ -378,6 +384,7 @@
 void GatewayNode::Implementation::updateEngine(TimePoint now)
 {
     m_engine.setNodeCount(m_membership->nodeCount(now));
+    m_engine.setNodes(m_membership->nodeNames());
     m_engine.registryChanged(now);
     updateQuotaNodes(now);
     logReadiness();
--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -126,12 +126,11 @@
     logOptions.m_node = settings.m_node;
     logOptions.m_output = arbutusgrade::LogOutput::BoundedStandardOutput;
     arbutusgrade::Log log(logOptions);
-    [[maybe_unused]] const arbutusgrade::CoordinationSettings coordination =
-        readCoordinationSettings(log);
+    const arbutusgrade::CoordinationSettings coordination = readCoordinationSettings(log);
     const std::unique_ptr<arbutusgrade::MetadataStore> store = arbutusgrade::platform::createStore(
         context, settings.m_store, arbutusgrade::MetadataStoreOptions{});
     arbutusgrade::GatewayNode node(context, settings, arbutusgrade::platform::deploymentFormat(),
-                                   *store, log);
+                                   *store, log, coordination);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     waitForSignal(signals, context, node, log, path);
     log.write(arbutusgrade::LogLevel::Info, "started", "",
