--- a/libs/quota/tests/limitertest.cpp
+++ b/libs/quota/tests/limitertest.cpp
@@ -40,7 +40,8 @@
 public:
     QuotaMessages() : m_limiter({"node0", testTolerance, 7}, m_now, m_output)
     {
-        const std::vector<OrganisationLimit> limits{{"small", {1.0, 1.0}}};
+        const std::vector<OrganisationLimit> limits{{"small", {1.0, 1.0}},
+                                                    {"large", {100.0, 1000.0}}};
         const std::vector<QuotaPeer> peers{{"node0", 1e6}, {"node1", 1e-6}};
         m_limiter.setLimits(m_now, limits);
         m_limiter.setPeers(m_now, peers, 2);
@@ -69,6 +70,16 @@
         }
     }
 
+    //! Asks for tokens of the large organisation after a time without any call.
+    std::uint64_t ask(std::uint32_t tokens, Duration after)
+    {
+        m_now += after;
+        QuotaReport asking = report();
+        asking.m_uses = {{stableHash("large"), 0, 0, tokens, tokens}};
+        m_limiter.receiveReport(m_now, "node1", asking);
+        return granted();
+    }
+
     std::uint64_t granted() const
     {
         return m_output.m_replies.back().m_grants.at(0).m_granted;
@@ -79,6 +90,50 @@
     QuotaLimiter m_limiter;
 };
 
+// Guards against a new coordinator whose bucket is full while earlier tokens are in use.
+TEST_F(QuotaMessages, BucketStartsEmpty)
+{
+    elapse(std::chrono::milliseconds(200));
+    EXPECT_EQ(ask(1000, Duration(1)) / 50, 0U);
+}
+
+// Guards against grants from delegations that expired while the coordinator was paused.
+TEST_F(QuotaMessages, ResumedCoordinatorGrantsNothing)
+{
+    elapse(std::chrono::seconds(20));
+    EXPECT_EQ(ask(1000, std::chrono::milliseconds(1500)), 0U);
+    // Its own share is delegated anew in the same call.
+    EXPECT_LE(m_limiter.statistics().m_delegatedShare, 0.5);
+}
+
+// Guards against a delegation that outlives its lease, or ends before it.
+TEST_F(QuotaMessages, DelegationLastsForItsLease)
+{
+    elapse(std::chrono::seconds(20));
+    // The last report echoed a reply of 100 ms before.
+    EXPECT_EQ(ask(500, std::chrono::milliseconds(1399)), 500U);
+}
+
+// Guards against tokens of the earlier limit that stay in the bucket.
+TEST_F(QuotaMessages, LoweredLimitCutsTheBucketAtOnce)
+{
+    elapse(std::chrono::seconds(20));
+    const std::vector<OrganisationLimit> limits{{"large", {1.0, 1.0}}};
+    m_limiter.setLimits(m_now, limits);
+    EXPECT_LE(ask(1000, Duration(1)), 11U);
+}
+
+// Guards against tokens that stay out after a limit was lowered.
+TEST_F(QuotaMessages, TokensAboveALoweredLimitAreRecalled)
+{
+    elapse(std::chrono::seconds(20));
+    EXPECT_EQ(ask(500, Duration(1)), 500U);
+    m_limiter.setLimits(m_now, std::vector<OrganisationLimit>{{"large", {1.0, 1.0}}});
+    m_now += std::chrono::milliseconds(1);
+    m_limiter.receiveReport(m_now, "node1", report());
+    EXPECT_TRUE(m_output.m_replies.back().m_grants.at(0).m_recalled);
+}
+
 // Guards against overflow and unbounded grants after absurd numbers in a report.
 TEST_F(QuotaMessages, AbsurdNumbersAreBounded)
 {
@@ -145,6 +200,125 @@
     EXPECT_EQ(granted(), 1U);
 }
 
+//! A node whose coordinator node0 is played by the test; node2 is the next in the order.
+class QuotaNode : public testing::Test
+{
+public:
+    QuotaNode() : m_limiter({"node1", testTolerance, 7}, begin, m_output)
+    {
+        const std::vector<QuotaPeer> peers{{"node0", 1e9}, {"node1", 1e-6}, {"node2", 1.0}};
+        m_limiter.setLimits(begin, std::vector<OrganisationLimit>{{"large", {500.0, 1000.0}}});
+        m_limiter.setPeers(begin, peers, 3);
+    }
+
+    //! Answers the last report.
+    void reply(std::uint64_t session, std::uint64_t granted)
+    {
+        const QuotaReport report = m_output.m_reports.back();
+        QuotaReply reply{report.m_nodeSession, session, report.m_sentAt, 1, 0, 1, true, {}};
+        reply.m_coordinatorTime = m_now.time_since_epoch().count();
+        reply.m_grants = {{stableHash("large"), granted, 0, false, false}};
+        m_limiter.receiveReply(m_now, m_output.m_reportedTo, reply);
+    }
+
+    //! Ten requests wait, so that tokens are not returned as surplus.
+    void createDemand()
+    {
+        for (int request = 0; request < 10; ++request) {
+            EXPECT_EQ(admit(), QuotaVerdict::Pending);
+        }
+    }
+
+    QuotaVerdict admit()
+    {
+        return m_limiter.admit(m_now, "large", ++m_request).m_verdict;
+    }
+
+    TimePoint m_now = begin;
+    std::uint64_t m_request = 0;
+    RecordingOutput m_output;
+    QuotaLimiter m_limiter;
+};
+
+// Guards against tokens that are used after the coordinator has dropped them.
+TEST_F(QuotaNode, TokensExpireWithTheirReport)
+{
+    createDemand();
+    m_now += std::chrono::milliseconds(20);
+    reply(5, 15);
+    EXPECT_EQ(m_output.m_decisions.size(), 10U);
+    m_now = begin + std::chrono::milliseconds(1499);
+    EXPECT_EQ(admit(), QuotaVerdict::Admitted);
+    m_now = begin + std::chrono::milliseconds(1500);
+    EXPECT_NE(admit(), QuotaVerdict::Admitted);
+}
+
+// Guards against tokens that come back to life with a later reply, and against late replies.
+TEST_F(QuotaNode, ExpiredTokensStayExpired)
+{
+    createDemand();
+    reply(5, 15);
+    m_now = begin + std::chrono::milliseconds(1600);
+    m_limiter.advance(m_now);
+    const QuotaReport late = m_output.m_reports.front();
+    reply(5, 15);
+    EXPECT_NE(admit(), QuotaVerdict::Admitted);
+    m_limiter.receiveReply(m_now, "node0",
+                           {late.m_nodeSession,
+                            5,
+                            late.m_sentAt,
+                            1,
+                            0,
+                            1,
+                            true,
+                            {{stableHash("large"), 2000, 0, false, false}}});
+    EXPECT_NE(admit(), QuotaVerdict::Admitted);
+}
+
+// Guards against tokens of a process of the coordinator that no longer counts them.
+TEST_F(QuotaNode, TokensOfAnEarlierSessionAreDiscarded)
+{
+    reply(5, 1000);
+    EXPECT_EQ(admit(), QuotaVerdict::Admitted);
+    m_now += std::chrono::milliseconds(500);
+    m_limiter.advance(m_now);
+    reply(6, 1000);
+    EXPECT_NE(admit(), QuotaVerdict::Admitted);
+}
+
+// Guards against a share that counts at two coordinators, or at one and at the node itself.
+TEST_F(QuotaNode, ShareRestsBeforeItIsUsedElsewhere)
+{
+    reply(5, 0);
+    m_now += std::chrono::milliseconds(10);
+    m_limiter.advance(m_now);
+    ASSERT_EQ(m_output.m_reports.back().m_nodes, 3U);
+    TimePoint lastDelegated = m_now;
+    std::size_t seen = m_output.m_reports.size();
+    bool moved = false;
+    while (!moved && m_now < begin + std::chrono::seconds(10)) {
+        m_now += std::chrono::milliseconds(10);
+        m_limiter.advance(m_now);
+        if (m_now < lastDelegated + std::chrono::milliseconds(1500)) {
+            EXPECT_NE(admit(), QuotaVerdict::Admitted);
+        }
+        for (; seen < m_output.m_reports.size(); ++seen) {
+            const bool delegates = m_output.m_reports[seen].m_nodes > 0;
+            if (m_output.m_reportedTo == "node2") {
+                moved = moved || delegates;
+            } else if (delegates) {
+                lastDelegated = m_now;
+            }
+        }
+        if (m_output.m_reportedTo == "node2" && !moved) {
+            reply(9, 0);
+        }
+    }
+    EXPECT_TRUE(moved);
+    EXPECT_GE(m_now, lastDelegated + std::chrono::milliseconds(1500));
+    EXPECT_EQ(m_limiter.statistics().m_admittedAlone, 0U);
+}
+
 // Guards against unlimited waiting requests, and requests that are decided twice or never.
 TEST(QuotaRequests, WaitingRequestsAreBoundedAndDecidedOnce)
 {
