Follow a store that is restored from a copy

The store states its era in the header Store-Era. After a restore, revisions are issued again and leases are gone, so that a node that went on from its last revision would miss changes, and took its lease for held.

EraTracker compares the era of all replies. A new era restarts the listing with strong reads, and registration and crash reports are written again under new leases; replies of another era, and to calls of the earlier one, are discarded. RestoreGuard keeps targets from going back: an entry with a lower sequence than known, and the entry of a target that was removed before the restore, is not used until the target has written a later one or its revision is above that of the first listing. The stand-in of the store gains a copy, a restore and the header.

Nodes register again within a second instead of at once, as 410 nodes with two calls each would come close to the 1,200 writes per second of the store.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -93,7 +93,8 @@
     int m_slots = 1;
     bool m_draining = false;
     Duration m_warmupRemaining{0};
-    std::int64_t m_started = 0; //!< Start time, Unix milliseconds; identifies the process.
+    std::int64_t m_started = 0;  //!< Start time, Unix milliseconds; identifies the process.
+    std::int64_t m_sequence = 0; //!< Increases with each entry that the process writes.
 };
 
 //! @brief An attempt that has been sent to a target and has not ended.
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -33,6 +33,9 @@
     NoResponse,         //!< No response before the timeout; a commit may have been applied.
 };
 
+//! @brief Counts the restores of the store from a copy; empty if the reply did not state it.
+using StoreEra = std::optional<std::uint64_t>;
+
 struct MetadataItem
 {
     std::string m_key;
@@ -53,6 +56,7 @@
     std::vector<MetadataItem> m_items;
     bool m_hasMore = false;
     std::uint64_t m_storeRevision = 0;
+    StoreEra m_era;
 };
 
 //! @brief Result of a watch.
@@ -61,6 +65,7 @@
     MetadataStatus m_status = MetadataStatus::NoResponse;
     std::vector<MetadataEvent> m_events;
     std::uint64_t m_storeRevision = 0;
+    StoreEra m_era;
 };
 
 struct MetadataLease
@@ -68,6 +73,14 @@
     MetadataStatus m_status = MetadataStatus::NoResponse;
     std::string m_id;
     std::chrono::milliseconds m_timeToLive{0};
+    StoreEra m_era;
+};
+
+//! @brief Result of a call that returns no data.
+struct MetadataResult
+{
+    MetadataStatus m_status = MetadataStatus::NoResponse;
+    StoreEra m_era;
 };
 
 //! @brief Timeouts and connection limits for calls of the store.
@@ -107,12 +120,12 @@
 
     //! @brief Writes a key unconditionally and attaches it to the lease.
     virtual void write(std::string_view key, std::string_view value, std::string_view lease,
-                       std::function<void(MetadataStatus)> handler) = 0;
+                       std::function<void(const MetadataResult &)> handler) = 0;
 
     virtual void createLease(std::chrono::milliseconds timeToLive,
                              std::function<void(const MetadataLease &)> handler) = 0;
     virtual void renewLease(std::string_view lease,
-                            std::function<void(MetadataStatus)> handler) = 0;
+                            std::function<void(const MetadataResult &)> handler) = 0;
 };
 
 // Formats ----------------------------------------------------------------------------------------
--- a/libs/gatewaynode/src/crashpublisher.cpp
+++ b/libs/gatewaynode/src/crashpublisher.cpp
@@ -13,6 +13,9 @@
 // More crashes at a time than this say nothing of single requests.
 constexpr std::size_t maximumUnwritten = 1'000;
 
+// Reports that are written again after a restore of the store.
+constexpr std::size_t maximumWritten = 1'000;
+
 std::chrono::milliseconds reportLifetime()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(CrashTable::retention);
@@ -49,6 +52,9 @@
     std::erase_if(m_unwritten, [now](const std::pair<const std::string, Value> &value) {
         return now - value.second.m_queuedAt >= CrashTable::retention;
     });
+    std::erase_if(m_written, [now](const std::pair<const std::string, Value> &value) {
+        return now - value.second.m_queuedAt >= CrashTable::retention;
+    });
     m_isWriting = !m_unwritten.empty();
     if (!m_isWriting) {
         return;
@@ -64,29 +70,32 @@
 void CrashPublisher::createLease()
 {
     m_leaseCreatedAt = bootTimeNow();
-    m_store.createLease(m_timeToLive, [weak = weak_from_this()](const MetadataLease &lease) {
-        const std::shared_ptr<CrashPublisher> self = weak.lock();
-        if (!self) {
-            return;
-        }
-        if (lease.m_status != MetadataStatus::Ok) {
-            self->m_leaseId.clear();
-            self->retryLater("no lease can be created");
-            return;
-        }
-        self->m_leaseId = lease.m_id;
-        self->writeNext();
-    });
+    m_store.createLease(m_timeToLive,
+                        [weak = weak_from_this(), era = m_eraNumber](const MetadataLease &lease) {
+                            const std::shared_ptr<CrashPublisher> self = weak.lock();
+                            if (!self || self->m_eraNumber != era) {
+                                return;
+                            }
+                            if (lease.m_status != MetadataStatus::Ok) {
+                                self->m_leaseId.clear();
+                                self->retryLater("no lease can be created");
+                                return;
+                            }
+                            self->m_leaseId = lease.m_id;
+                            self->writeNext();
+                        });
 }
 
 void CrashPublisher::write(const std::string &key, const std::string &text)
 {
-    m_store.write(key, text, m_leaseId,
-                  [weak = weak_from_this(), key, text](MetadataStatus status) {
-                      if (const std::shared_ptr<CrashPublisher> self = weak.lock()) {
-                          self->finishWrite(key, text, status);
-                      }
-                  });
+    m_store.write(
+        key, text, m_leaseId,
+        [weak = weak_from_this(), era = m_eraNumber, key, text](const MetadataResult &result) {
+            const std::shared_ptr<CrashPublisher> self = weak.lock();
+            if (self && self->m_eraNumber == era) {
+                self->finishWrite(key, text, result.m_status);
+            }
+        });
 }
 
 void CrashPublisher::finishWrite(const std::string &key, const std::string &text,
@@ -103,11 +112,25 @@
     // The value may have changed during the call.
     const std::map<std::string, Value>::const_iterator written = m_unwritten.find(key);
     if (written != m_unwritten.end() && written->second.m_text == text) {
+        if (m_written.size() < maximumWritten || m_written.contains(key)) {
+            m_written[key] = written->second;
+        }
         m_unwritten.erase(written);
     }
     writeNext();
 }
 
+void CrashPublisher::storeEraChanged()
+{
+    ++m_eraNumber;
+    m_leaseId.clear();
+    m_retryTimer.cancel();
+    // A report that still waits is newer than the written one of the same key, which is kept out.
+    m_unwritten.merge(m_written);
+    m_written.clear();
+    writeNext();
+}
+
 void CrashPublisher::retryLater(std::string_view reason)
 {
     if (!std::exchange(m_isFailing, true)) {
@@ -116,12 +139,13 @@
                     {{"reports", m_unwritten.size()}});
     }
     m_retryTimer.expires_after(retryInterval);
-    m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-        const std::shared_ptr<CrashPublisher> self = weak.lock();
-        if (!error && self) {
-            self->writeNext();
-        }
-    });
+    m_retryTimer.async_wait(
+        [weak = weak_from_this(), era = m_eraNumber](boost::system::error_code error) {
+            const std::shared_ptr<CrashPublisher> self = weak.lock();
+            if (!error && self && self->m_eraNumber == era) {
+                self->writeNext();
+            }
+        });
 }
 
 } // namespace arbutusgrade
--- a/libs/gatewaynode/src/details/crashpublisher.h
+++ b/libs/gatewaynode/src/details/crashpublisher.h
@@ -24,6 +24,10 @@
 
     void publish(const CrashReport &report);
 
+    //! @brief Writes the reports of the retention period again, under a new lease: the store was
+    //! restored from a copy. Results of calls in flight are ignored.
+    void storeEraChanged();
+
 private:
     struct Value
     {
@@ -43,7 +47,9 @@
     Log &m_log;
     boost::asio::steady_timer m_retryTimer;
     std::map<std::string, Value> m_unwritten; //!< By key.
+    std::map<std::string, Value> m_written;   //!< Within the retention period, by key.
     std::string m_leaseId;
+    std::uint64_t m_eraNumber = 0; //!< Changes of the store's era since the start.
     TimePoint m_leaseCreatedAt;
     bool m_isWriting = false; //!< A call is in flight, or waits for the retry.
     bool m_isFailing = false; //!< The last call failed, which has been logged.
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -25,6 +25,10 @@
     void start();
     void stop();
 
+    //! @brief Drops the lease and registers again: the store was restored from a copy, in which
+    //! neither exists. Results of calls in flight are ignored.
+    void storeEraChanged();
+
     //! @brief Replaces the known registrations by those of a snapshot of the store. Keys without
     //! the prefix are ignored.
     void applySnapshot(const std::vector<MetadataItem> &items);
@@ -34,6 +38,7 @@
     int nodeCount(TimePoint now);
 
 private:
+    bool isCurrent(std::uint64_t era) const;
     void createLease();
     void writeRegistration();
     void renewLease();
@@ -53,6 +58,7 @@
     std::chrono::milliseconds m_timeToLive;
     boost::asio::steady_timer m_timer;
     std::string m_leaseId;
+    std::uint64_t m_eraNumber = 0; //!< Changes of the store's era since the start.
     std::set<std::string> m_registeredKeys;
     std::deque<RetainedCount> m_retainedCounts; //!< Earlier, higher counts; greatest first.
     bool m_stopped = false;
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -9,6 +9,7 @@
 
 #include "details/crashpublisher.h"
 #include "details/decisionlog.h"
+#include "details/eratracker.h"
 #include "details/membership.h"
 #include "details/storesync.h"
 #include "gatewaynode/gatewaynode.h"
@@ -36,6 +37,7 @@
     void recordCallerPath(const HttpRequest &request);
     void attemptEnded(std::uint64_t attempt, ForwardEnd end, const ReplyContent &content);
     void storeStateChanged();
+    void storeEraChanged(std::uint64_t previous, std::uint64_t era);
     void updateEngine(TimePoint now);
     void armEngineTimer();
     void tick();
@@ -60,6 +62,7 @@
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
+    EraTracker m_store;
     std::shared_ptr<Membership> m_membership;
     std::shared_ptr<CrashPublisher> m_crashPublisher;
     StoreSync m_storeSync;
--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -46,6 +46,12 @@
     //! @brief Lists all pages again, for example after a suspension of the VM.
     void restart(ReadConsistency consistency);
 
+    //! @brief All changes up to this revision have been reported.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
     //! @brief Stops watching. No handler is called afterwards.
     void stop();
 
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -5,6 +5,7 @@
 
 #include "details/membership.h"
 #include "details/prefixwatcher.h"
+#include "details/restoreguard.h"
 #include "telemetry/telemetry.h"
 
 namespace arbutusgrade {
@@ -28,6 +29,10 @@
     //! @brief Reads the whole store again, for use when changes may have been missed.
     void restart();
 
+    //! @brief Reads the whole store again after it was restored from a copy. Configuration and
+    //! targets do not go back to what the copy has.
+    void storeEraChanged();
+
     //! @brief True once a valid configuration has been read.
     bool isComplete() const
     {
@@ -41,6 +46,8 @@
     void applyCrashCount(const MetadataItem &item);
     void applyTarget(const MetadataItem &item);
     void removeTarget(std::string_view key, std::string_view reason);
+    TargetPointer findTarget(std::string_view id) const;
+    void recordRemoval(std::string_view id);
     void handleAvailability(bool available);
     void logFindings(std::string_view event, std::string_view key,
                      const std::vector<Finding> &findings);
@@ -54,6 +61,9 @@
     std::function<void()> m_changeHandler;
     std::unordered_map<std::string, std::uint64_t>
         m_loggedUnreadable; //!< Hash of the logged value, by key.
+    RestoreGuard m_guard;
+    bool m_isRestored = false; //!< The next listing is the first one after a restore.
+    bool m_stopped = false;
     bool m_configurationRead = false;
     bool m_available = true;
 };
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -97,12 +97,15 @@
       m_callerServer(context, callerOptions(CallerLimits{})),
       m_readinessServer(context, HttpServerOptions{}),
       m_metricsServer(context, HttpServerOptions{}),
-      m_membership(std::make_shared<Membership>(context, store, format.m_writablePrefix + "nodes/",
-                                                settings.m_node, settings.m_minimumLease)),
-      m_crashPublisher(std::make_shared<CrashPublisher>(context, store, crashPrefix(format),
+      m_store(store, [this](std::uint64_t previous,
+                            std::uint64_t era) { storeEraChanged(previous, era); }),
+      m_membership(std::make_shared<Membership>(context, m_store,
+                                                format.m_writablePrefix + "nodes/", settings.m_node,
+                                                settings.m_minimumLease)),
+      m_crashPublisher(std::make_shared<CrashPublisher>(context, m_store, crashPrefix(format),
                                                         settings.m_minimumLease, log)),
-      m_storeSync(context, m_format, store, watcherOptions(settings), crashPrefix(format), m_engine,
-                  *m_membership, log),
+      m_storeSync(context, m_format, m_store, watcherOptions(settings), crashPrefix(format),
+                  m_engine, *m_membership, log),
       m_decisionLog(log), m_latency("arbutusgrade_answer_seconds", "Time to the answer", "outcome"),
       m_callerRoundTrip("arbutusgrade_caller_round_trip_seconds",
                         "Round trip time to callers, for each connection", "source"),
@@ -282,6 +285,17 @@
     updateEngine(bootTimeNow());
 }
 
+void GatewayNode::Implementation::storeEraChanged(std::uint64_t previous, std::uint64_t era)
+{
+    m_log.write(LogLevel::Warning, "store-era-changed",
+                "the store was restored from a copy; it is read again, and this node's keys are "
+                "written again",
+                {{"previous", previous}, {"era", era}});
+    m_storeSync.storeEraChanged();
+    m_membership->storeEraChanged();
+    m_crashPublisher->storeEraChanged();
+}
+
 void GatewayNode::Implementation::updateEngine(TimePoint now)
 {
     m_engine.setNodeCount(m_membership->nodeCount(now));
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -10,6 +10,10 @@
 constexpr std::chrono::milliseconds leaseRenewInterval{8'000};
 constexpr std::chrono::milliseconds retryInterval{1'000};
 
+// All nodes register again after a restore of the store, each with two calls; together they would
+// exceed its limit of 1,200 writes per second.
+constexpr std::chrono::milliseconds reregistrationSpread{1'000};
+
 // A node still counts for this long after its registration has expired, since it may be running
 // without contact to the store.
 constexpr Duration countRetention = std::chrono::seconds(15);
@@ -52,33 +56,36 @@
 
 void Membership::createLease()
 {
-    m_store.createLease(m_timeToLive, [weak = weak_from_this()](const MetadataLease &lease) {
-        const std::shared_ptr<Membership> self = weak.lock();
-        if (!self || self->m_stopped) {
-            return;
-        }
-        if (lease.m_status != MetadataStatus::Ok) {
-            self->m_leaseId.clear();
-            self->scheduleRenewal(retryInterval);
-            return;
-        }
-        self->m_leaseId = lease.m_id;
-        self->writeRegistration();
-    });
+    m_store.createLease(m_timeToLive,
+                        [weak = weak_from_this(), era = m_eraNumber](const MetadataLease &lease) {
+                            const std::shared_ptr<Membership> self = weak.lock();
+                            if (!self || !self->isCurrent(era)) {
+                                return;
+                            }
+                            if (lease.m_status != MetadataStatus::Ok) {
+                                self->m_leaseId.clear();
+                                self->scheduleRenewal(retryInterval);
+                                return;
+                            }
+                            self->m_leaseId = lease.m_id;
+                            self->writeRegistration();
+                        });
 }
 
 void Membership::writeRegistration()
 {
-    m_store.write(m_ownKey, m_node, m_leaseId, [weak = weak_from_this()](MetadataStatus status) {
-        const std::shared_ptr<Membership> self = weak.lock();
-        if (!self || self->m_stopped) {
-            return;
-        }
-        if (status != MetadataStatus::Ok) {
-            self->m_leaseId.clear();
-        }
-        self->scheduleRenewal(status == MetadataStatus::Ok ? leaseRenewInterval : retryInterval);
-    });
+    m_store.write(m_ownKey, m_node, m_leaseId,
+                  [weak = weak_from_this(), era = m_eraNumber](const MetadataResult &result) {
+                      const std::shared_ptr<Membership> self = weak.lock();
+                      if (!self || !self->isCurrent(era)) {
+                          return;
+                      }
+                      const bool written = result.m_status == MetadataStatus::Ok;
+                      if (!written) {
+                          self->m_leaseId.clear();
+                      }
+                      self->scheduleRenewal(written ? leaseRenewInterval : retryInterval);
+                  });
 }
 
 void Membership::renewLease()
@@ -87,17 +94,36 @@
         createLease();
         return;
     }
-    m_store.renewLease(m_leaseId, [weak = weak_from_this()](MetadataStatus status) {
-        const std::shared_ptr<Membership> self = weak.lock();
-        if (!self || self->m_stopped) {
-            return;
-        }
-        if (status == MetadataStatus::NotFound) {
-            self->createLease();
-            return;
-        }
-        self->scheduleRenewal(status == MetadataStatus::Ok ? leaseRenewInterval : retryInterval);
-    });
+    m_store.renewLease(
+        m_leaseId, [weak = weak_from_this(), era = m_eraNumber](const MetadataResult &result) {
+            const std::shared_ptr<Membership> self = weak.lock();
+            if (!self || !self->isCurrent(era)) {
+                return;
+            }
+            if (result.m_status == MetadataStatus::NotFound) {
+                self->createLease();
+                return;
+            }
+            self->scheduleRenewal(result.m_status == MetadataStatus::Ok ? leaseRenewInterval
+                                                                        : retryInterval);
+        });
+}
+
+void Membership::storeEraChanged()
+{
+    if (m_stopped) {
+        return;
+    }
+    ++m_eraNumber;
+    m_leaseId.clear();
+    const std::uint64_t bound = static_cast<std::uint64_t>(reregistrationSpread.count()) + 1;
+    RandomGenerator random{stableHash(m_ownKey) ^ m_eraNumber};
+    scheduleRenewal(std::chrono::milliseconds(nextRandomBelow(random, bound)));
+}
+
+bool Membership::isCurrent(std::uint64_t era) const
+{
+    return !m_stopped && era == m_eraNumber;
 }
 
 void Membership::scheduleRenewal(std::chrono::milliseconds delay)
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -50,6 +50,8 @@
     counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
     counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
             client.m_connectFailures);
+    counter("arbutusgrade_store_replies_discarded_total",
+            "Replies of the store that belong to another era", m_store.discardedReplies());
     counter("arbutusgrade_log_lines_dropped_total", "Decisions beyond the bound of the log",
             m_decisionLog.droppedLines());
     addGauge(families, "arbutusgrade_requests_in_flight", "Requests without an answer",
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace arbutusgrade {
 
@@ -49,16 +50,33 @@
 
 void StoreSync::stop()
 {
+    m_stopped = true;
     m_watcher->stop();
 }
 
 void StoreSync::restart()
 {
+    if (m_stopped) {
+        return;
+    }
     m_watcher->restart(ReadConsistency::Strong);
 }
 
+void StoreSync::storeEraChanged()
+{
+    m_isRestored = true;
+    restart();
+}
+
 void StoreSync::applySnapshot(const std::vector<MetadataItem> &items)
 {
+    const bool isRestored = std::exchange(m_isRestored, false);
+    if (isRestored) {
+        m_guard.beginRestored(m_watcher->revision());
+        // Targets that the copy lacks stay in use as they do after an outage.
+        markStoreUnavailable(m_engine.registry());
+        markStoreAvailable(m_engine.registry(), bootTimeNow());
+    }
     std::vector<std::string> presentIds;
     for (const MetadataItem &item : items) {
         applyConfiguration(item);
@@ -70,6 +88,11 @@
     }
     for (const std::string &id :
          removeMissingEntries(m_engine.registry(), bootTimeNow(), presentIds)) {
+        // Missing from a copy does not mean that a target is gone, unless it was about to leave.
+        const TargetPointer target = findTarget(id);
+        if (!isRestored || (target && target->m_entry.m_draining)) {
+            recordRemoval(id);
+        }
         m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", "missing"}});
     }
     m_membership.applySnapshot(items);
@@ -148,6 +171,14 @@
         removeTarget(item.m_key, "unreadable");
         return;
     }
+    const TargetPointer known = findTarget(id);
+    if (m_guard.isOutdated(bootTimeNow(), entry.value(), item.m_revision,
+                           known ? &known->m_entry : nullptr)) {
+        m_log.write(LogLevel::Info, "target-entry-outdated",
+                    "the restored store has an earlier entry of the target, which is not used",
+                    {{"target", id}, {"revision", item.m_revision}});
+        return;
+    }
     const EntryChange change = applyEntry(m_engine.registry(), bootTimeNow(), entry.value());
     if (change == EntryChange::Changed) {
         return;
@@ -170,11 +201,28 @@
 void StoreSync::removeTarget(std::string_view key, std::string_view reason)
 {
     const std::string_view id = key.substr(std::min(key.size(), m_format.m_targetPrefix.size()));
+    m_guard.forgetEntry(bootTimeNow(), id);
     if (removeEntry(m_engine.registry(), bootTimeNow(), id)) {
+        recordRemoval(id);
         m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", reason}});
     }
 }
 
+TargetPointer StoreSync::findTarget(std::string_view id) const
+{
+    const std::unordered_map<std::string, TargetPointer> &targets = m_engine.registry().m_targets;
+    const std::unordered_map<std::string, TargetPointer>::const_iterator found =
+        targets.find(std::string(id));
+    return found != targets.end() ? found->second : nullptr;
+}
+
+void StoreSync::recordRemoval(std::string_view id)
+{
+    if (const TargetPointer target = findTarget(id)) {
+        m_guard.recordRemoval(bootTimeNow(), target->m_entry);
+    }
+}
+
 void StoreSync::handleAvailability(bool available)
 {
     if (available == m_available) {
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -13,6 +13,7 @@
     MetadataPage page;
     page.m_status = m_listStatus;
     page.m_storeRevision = m_revision;
+    page.m_era = m_era;
     for (const std::pair<const std::string, std::string> &item : m_items) {
         if (!item.first.starts_with(prefix) || item.first <= after) {
             continue;
@@ -33,20 +34,20 @@
 {
     ++m_watchCalls;
     if (m_completeCatchUpWatches && wait <= std::chrono::milliseconds(1)) {
-        handler(MetadataChanges{MetadataStatus::Ok, {}, afterRevision});
+        handler(MetadataChanges{MetadataStatus::Ok, {}, afterRevision, m_era});
         return;
     }
     m_pendingWatches.push_back(Watch{afterRevision, std::move(handler)});
 }
 
 void FakeStore::write(std::string_view key, std::string_view value, std::string_view /*lease*/,
-                      std::function<void(MetadataStatus)> handler)
+                      std::function<void(const MetadataResult &)> handler)
 {
     if (m_writeStatus == MetadataStatus::Ok) {
         m_items[std::string(key)] = value;
         ++m_revision;
     }
-    handler(m_writeStatus);
+    handler(MetadataResult{m_writeStatus, m_era});
 }
 
 void FakeStore::createLease(std::chrono::milliseconds timeToLive,
@@ -54,12 +55,13 @@
 {
     ++m_createdLeases;
     m_leaseTimeToLive = timeToLive;
-    handler(MetadataLease{MetadataStatus::Ok, std::to_string(m_createdLeases), timeToLive});
+    handler(MetadataLease{MetadataStatus::Ok, std::to_string(m_createdLeases), timeToLive, m_era});
 }
 
-void FakeStore::renewLease(std::string_view /*lease*/, std::function<void(MetadataStatus)> handler)
+void FakeStore::renewLease(std::string_view /*lease*/,
+                           std::function<void(const MetadataResult &)> handler)
 {
-    handler(m_leaseExists ? MetadataStatus::Ok : MetadataStatus::NotFound);
+    handler(MetadataResult{m_leaseExists ? MetadataStatus::Ok : MetadataStatus::NotFound, m_era});
 }
 
 void FakeStore::completeWatch(MetadataStatus status, const std::vector<MetadataEvent> &events,
@@ -67,7 +69,7 @@
 {
     const Watch watch = m_pendingWatches.front();
     m_pendingWatches.erase(m_pendingWatches.begin());
-    watch.m_handler(MetadataChanges{status, events, storeRevision});
+    watch.m_handler(MetadataChanges{status, events, storeRevision, m_era});
 }
 
 void runFor(boost::asio::io_context &context, std::chrono::milliseconds duration)
--- a/libs/gatewaynode/tests/fakestore.h
+++ b/libs/gatewaynode/tests/fakestore.h
@@ -26,10 +26,11 @@
     void watch(std::string_view prefix, std::uint64_t afterRevision, std::chrono::milliseconds wait,
                std::function<void(const MetadataChanges &)> handler) override;
     void write(std::string_view key, std::string_view value, std::string_view lease,
-               std::function<void(MetadataStatus)> handler) override;
+               std::function<void(const MetadataResult &)> handler) override;
     void createLease(std::chrono::milliseconds timeToLive,
                      std::function<void(const MetadataLease &)> handler) override;
-    void renewLease(std::string_view lease, std::function<void(MetadataStatus)> handler) override;
+    void renewLease(std::string_view lease,
+                    std::function<void(const MetadataResult &)> handler) override;
 
     //! @brief Completes the oldest pending watch.
     void completeWatch(MetadataStatus status, const std::vector<MetadataEvent> &events,
@@ -51,6 +52,7 @@
     int m_createdLeases = 0;
     std::chrono::milliseconds m_leaseTimeToLive{0}; //!< Of the last lease created.
     bool m_leaseExists = true;
+    StoreEra m_era; //!< Of all replies, as it is when they are sent.
 };
 
 void runFor(boost::asio::io_context &context, std::chrono::milliseconds duration);
--- a/libs/gatewaynode/tests/gatewaynodetest.cpp
+++ b/libs/gatewaynode/tests/gatewaynodetest.cpp
@@ -128,6 +128,24 @@
     EXPECT_TRUE(finished);
 }
 
+// Guards against a node that goes on from its last revision in a store that was restored from a
+// copy, and that is no longer registered there.
+TEST_F(GatewayNodeTest, ReadsAndRegistersAgainAfterARestoreOfTheStore)
+{
+    m_store.m_era = 1;
+    m_store.m_items["config"] = "v";
+    ASSERT_EQ(m_node.start(), "");
+    m_store.m_items.erase("own/nodes/n1");
+    m_store.m_era = 2;
+    m_store.completeWatch(MetadataStatus::HistoryUnavailable, {}, 0);
+    EXPECT_EQ(m_store.m_strongListCalls, 1);
+    runFor(m_context, 1200ms);
+    EXPECT_TRUE(m_store.m_items.contains("own/nodes/n1"));
+    EXPECT_EQ(m_store.m_createdLeases, 2);
+    EXPECT_EQ(m_store.m_strongListCalls, 1);
+    EXPECT_EQ(readinessStatus(), "200");
+}
+
 // Guards against an invalid configuration that replaces the active one.
 TEST_F(GatewayNodeTest, KeepsTheActiveConfigurationWhenAnUpdateIsInvalid)
 {
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -164,6 +164,9 @@
     int m_status = 0;
     std::string m_body;
     HttpHeaders m_headers; //!< Only where the exchange asked for them.
+
+    //! @brief Value of a header, compared without regard to case; empty if it is absent.
+    std::string_view header(std::string_view name) const;
 };
 
 //! @brief What is special about one exchange.
@@ -187,6 +190,7 @@
         std::string m_contentType = "application/octet-stream";
         //! Hands over a reply that is too large or no HTTP, as one with status 0.
         bool m_reportUnreadable = false;
+        bool m_keepHeaders = false; //!< The reply has its headers.
     };
 
     //! @brief Takes the reply, or null if there was none in time.
--- a/libs/transport/src/httpclient.cpp
+++ b/libs/transport/src/httpclient.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace arbutusgrade {
 
@@ -24,6 +25,16 @@
 
 } // namespace
 
+std::string_view ReplyContent::header(std::string_view name) const
+{
+    for (const std::pair<std::string, std::string> &header : m_headers) {
+        if (boost::beast::iequals(header.first, name)) {
+            return header.second;
+        }
+    }
+    return {};
+}
+
 HttpClient::HttpClient(asio::io_context &context, HopStatistics &hop, int connections)
     : m_context(context), m_hop(hop), m_limit(connections), m_timer(context)
 {
@@ -110,8 +121,10 @@
 
 void HttpClient::exchange(const PendingPointer &pending)
 {
+    ExchangeOptions options;
+    options.m_keepHeaders = pending->m_call.m_keepHeaders;
     pending->m_connection->exchange(
-        requestText(m_host, pending->m_call), {},
+        requestText(m_host, pending->m_call), options,
         [weak = weak_from_this(), pending](ExchangeEnd end, const ReplyContent &reply) {
             const std::shared_ptr<HttpClient> self = weak.lock();
             if (!self) {
--- a/standins/common/src/httpserver.cpp
+++ b/standins/common/src/httpserver.cpp
@@ -160,6 +160,9 @@
         }
         m_message = Message(http::int_to_status(response.m_status), 11);
         m_message.set(http::field::content_type, "application/json");
+        for (const std::pair<std::string, std::string> &header : response.m_headers) {
+            m_message.set(header.first, header.second);
+        }
         m_message.keep_alive(m_keepAlive);
         m_message.body() = response.m_body;
         m_message.prepare_payload();
--- a/standins/platform-standin/keystore.cpp
+++ b/standins/platform-standin/keystore.cpp
@@ -105,6 +105,14 @@
     return false;
 }
 
+void KeyStore::restore(const KeyStore &copy)
+{
+    const std::int64_t nextLease = m_nextLease;
+    *this = copy;
+    m_leases.clear();
+    m_nextLease = nextLease;
+}
+
 std::vector<KeyChange> KeyStore::list(std::string_view prefix, std::string_view after,
                                       std::size_t limit, StoreTime now)
 {
@@ -121,7 +129,7 @@
 std::optional<std::vector<KeyChange>> KeyStore::changesAfter(std::string_view prefix,
                                                              std::int64_t revision) const
 {
-    if (revision < m_forgottenUpTo) {
+    if (revision < m_forgottenUpTo || revision > m_revision) {
         return std::nullopt;
     }
     std::vector<KeyChange> changes;
--- a/standins/platform-standin/keystore.h
+++ b/standins/platform-standin/keystore.h
@@ -60,6 +60,10 @@
     //! @return false if the key never had the revision.
     bool rollBack(const std::string &key, std::int64_t revision);
 
+    //! @brief Takes the state of a copy: revisions go back to those of the copy and are issued
+    //! again; no lease is held any more.
+    void restore(const KeyStore &copy);
+
     std::size_t keyCount() const;
 
     //! @brief Keys with the prefix after the given key, in order, at most so many.
@@ -67,7 +71,7 @@
                                 StoreTime now);
 
     //! @brief Changes of keys with the prefix after the revision; nothing if the history no longer
-    //! reaches back to it.
+    //! reaches back to it, or the revision has not been issued.
     std::optional<std::vector<KeyChange>> changesAfter(std::string_view prefix,
                                                        std::int64_t revision) const;
 
--- a/standins/platform-standin/platform.cpp
+++ b/standins/platform-standin/platform.cpp
@@ -134,7 +134,11 @@
         }
         patch.erase("rollback");
     }
-    const std::array<PatchField, 7> fields{{
+    const std::string copyProblem = applyCopyFaults(patch);
+    if (!copyProblem.empty()) {
+        return copyProblem;
+    }
+    const std::array<PatchField, 8> fields{{
         {"down", &m_faults.m_down},
         {"hang", &m_faults.m_hang},
         {"delayMs", &m_faults.m_delayMs},
@@ -142,10 +146,29 @@
         {"loseReplies", &m_faults.m_loseReplies},
         {"callsPerSecond", &m_faults.m_callsPerSecond},
         {"vmLagMs", &m_faults.m_vmLagMs},
+        {"hideEra", &m_faults.m_hideEra},
     }};
     return applyPatch(patch, fields);
 }
 
+// {"copy": true} keeps a copy of the store; {"restore": true} puts the store back to it.
+std::string Platform::applyCopyFaults(json::object &patch)
+{
+    if (patch.erase("copy") > 0) {
+        m_copy = m_store;
+    }
+    if (patch.erase("restore") == 0) {
+        return {};
+    }
+    if (!m_copy) {
+        return "there is no copy to restore";
+    }
+    m_store.restore(*m_copy);
+    ++m_era;
+    completePrefixWatches();
+    return {};
+}
+
 // The limit holds over the last second, whatever the type of the calls.
 bool Platform::admitCall()
 {
@@ -167,6 +190,9 @@
 void Platform::reply(const Responder &responder, unsigned status, const json::value &body)
 {
     HttpResponse response{status, json::serialize(body)};
+    if (!m_faults.m_hideEra) {
+        response.m_headers.emplace_back("Store-Era", std::to_string(m_era));
+    }
     if (nextRandomUnit(m_random) < m_faults.m_loseReplies) {
         ++m_counts["lostReplies"];
         response.m_mode = ReplyMode::Close;
--- a/standins/platform-standin/platform.h
+++ b/standins/platform-standin/platform.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,7 @@
     double m_loseReplies = 0;          //!< Share of calls that take effect and get no reply.
     std::int64_t m_callsPerSecond = 0; //!< Beyond it 429; 0: no limit.
     std::int64_t m_vmLagMs = 0;        //!< Age of the VM list that is shown.
+    bool m_hideEra = false;            //!< Sends no Store-Era, as an earlier release of the store.
 };
 
 //! @brief The platform's key-value service and VM list over HTTP.
@@ -76,6 +78,7 @@
     void checkWatchesLater();
     void showVms(const Responder &responder);
     boost::json::object statistics() const;
+    std::string applyCopyFaults(boost::json::object &patch);
     std::string applyFaults(boost::json::object patch);
     void after(std::int64_t milliseconds, std::function<void()> action);
 
@@ -85,6 +88,8 @@
     RandomGenerator m_random;
     PlatformFaults m_faults;
     KeyStore m_store;
+    std::optional<KeyStore> m_copy; //!< For a restore.
+    std::int64_t m_era = 1;         //!< Increases with each restore.
     std::vector<Watch> m_watches;
     std::vector<PrefixWatch> m_prefixWatches;
     std::vector<std::pair<StoreTime, boost::json::array>> m_vms; //!< Oldest first.
--- a/tests/standinstest.cpp
+++ b/tests/standinstest.cpp
@@ -119,6 +119,26 @@
     EXPECT_EQ(state.at("revision").as_int64(), 1);
 }
 
+// Guards against a restore that only looks like one: revisions, leases and the era must show it.
+TEST(PlatformStandIn, RestoreGoesBackToTheCopyInANewEra)
+{
+    const StandIn platform("platform-standin", {});
+    const auto put = [&platform](const std::string &fault) {
+        return platform.call("PUT", "/v1/faults", fault).m_status;
+    };
+    EXPECT_EQ(put(R"({"restore":true})"), 400U);
+    platform.call("PUT", "/v1/keys/a", "old");
+    const std::string lease =
+        std::to_string(jsonBody(platform.call("POST", "/v1/leases")).at("lease").as_int64());
+    EXPECT_EQ(put(R"({"copy":true})"), 200U);
+    platform.call("PUT", "/v1/keys/a", "new");
+    EXPECT_EQ(put(R"({"restore":true})"), 200U);
+    EXPECT_EQ(jsonBody(platform.call("GET", "/v1/keys/a")).at("value").as_string(), "old");
+    EXPECT_EQ(platform.call("PUT", "/v1/leases/" + lease).m_status, 404U);
+    EXPECT_EQ(platform.call("GET", "/kv-watch?prefix=&after=2&waitMs=100").m_status, 410U);
+    EXPECT_EQ(jsonBody(platform.call("PUT", "/v1/keys/b", "x")).at("revision").as_int64(), 2);
+}
+
 // Guards against a count of executions that a crash resets: at most once could not be proved.
 TEST(TargetStandIn, CrashLosesConnectionsAndKeepsCounts)
 {
