Relay the changes of the store between the nodes of a data centre

Each node holds its own watch, and store calls are the largest cost of the gateway. In a data centre with 8 linked nodes or more, two nodes, chosen by weighted rendezvous hashing, now watch the store and answer the watches of the others from memory, over HTTP on the port of the node link. Without a link nothing changes.

RelayedStore asks the store itself after a listing, and whenever a relay is silent, refuses, is in another era, lacks the changes, has old data or cannot be read. The wait and the time-out of a call shrink with the age of the node's own data, so that a silent relay is noticed when this data is about 2.5 s old. The data of a reply counts as current at most 100 ms after the end of its wait, as it may have lain in the buffers of a paused process.

The choice, the history and the messages run without I/O. Membership::linkedNodes is a placeholder that names no node until registrations carry the link; relays stay off until then.

--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -66,6 +66,7 @@
     std::vector<MetadataEvent> m_events;
     std::uint64_t m_storeRevision = 0;
     StoreEra m_era;
+    bool m_isRelayed = false; //!< By another node, not by a call of the store.
 };
 
 struct MetadataLease
@@ -198,7 +199,8 @@
 {
 public:
     GatewayNode(boost::asio::io_context &context, const GatewaySettings &settings,
-                const DeploymentFormat &format, MetadataStore &store, Log &log);
+                const DeploymentFormat &format, MetadataStore &store, Log &log,
+                const CoordinationSettings &coordination = {});
     ~GatewayNode();
     GatewayNode(const GatewayNode &) = delete;
     GatewayNode &operator=(const GatewayNode &) = delete;
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -34,6 +34,12 @@
     void applySnapshot(const std::vector<MetadataItem> &items);
     void applyChanges(const std::vector<MetadataEvent> &events);
 
+    //! @brief Nodes that are registered with their link, this one included.
+    std::vector<RegisteredNode> linkedNodes() const
+    {
+        return {}; // Registrations have no link yet.
+    }
+
     //! @brief Number of nodes that share the limits, including recently expired ones.
     int nodeCount(TimePoint now);
 
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -11,6 +11,7 @@
 #include "details/decisionlog.h"
 #include "details/eratracker.h"
 #include "details/membership.h"
+#include "details/relayedstore.h"
 #include "details/storesync.h"
 #include "gatewaynode/gatewaynode.h"
 #include "transport/transport.h"
@@ -21,7 +22,8 @@
                                      public std::enable_shared_from_this<Implementation>
 {
     Implementation(boost::asio::io_context &context, const GatewaySettings &settings,
-                   const DeploymentFormat &format, MetadataStore &store, Log &log);
+                   const DeploymentFormat &format, MetadataStore &store, Log &log,
+                   const CoordinationSettings &coordination);
 
     // ForwardOutput
     void send(const ForwardCommand &command) override;
@@ -39,6 +41,7 @@
     void storeStateChanged();
     void storeEraChanged(std::uint64_t previous, std::uint64_t era);
     void updateEngine(TimePoint now);
+    void updateRelays(TimePoint now);
     void armEngineTimer();
     void tick();
     void checkForSuspension(TimePoint now);
@@ -52,6 +55,7 @@
     void logUnansweredRequests();
 
     MetricFamilies metrics() const;
+    void addStoreMetrics(MetricFamilies &families) const;
 
     boost::asio::io_context &m_context;
     GatewaySettings m_settings;
@@ -62,6 +66,7 @@
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
+    std::shared_ptr<RelayedStore> m_relayedStore;
     EraTracker m_store;
     std::shared_ptr<Membership> m_membership;
     std::shared_ptr<CrashPublisher> m_crashPublisher;
--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -46,6 +46,9 @@
     //! @brief Lists all pages again, for example after a suspension of the VM.
     void restart(ReadConsistency consistency);
 
+    //! @brief Applies to calls and delays that begin later.
+    void setOptions(const PrefixWatcherOptions &options);
+
     //! @brief All changes up to this revision have been reported.
     std::uint64_t revision() const
     {
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -29,6 +29,11 @@
     //! @brief Reads the whole store again, for use when changes may have been missed.
     void restart();
 
+    void setWatchOptions(const PrefixWatcherOptions &options)
+    {
+        m_watcher->setOptions(options);
+    }
+
     //! @brief Reads the whole store again after it was restored from a copy. Configuration and
     //! targets do not go back to what the copy has.
     void storeEraChanged();
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -56,6 +56,27 @@
     return options;
 }
 
+//! @brief Options of the watch of a relay, whose data must be fresher than that of other nodes.
+PrefixWatcherOptions relayWatcherOptions(const GatewaySettings &settings)
+{
+    PrefixWatcherOptions options;
+    options.m_watchTimeout = relayWait;
+    options.m_batchDelay = relayPause(settings.m_changeBound);
+    return options;
+}
+
+RelayedStoreOptions relayOptions(const GatewaySettings &settings, const DeploymentFormat &format,
+                                 const CoordinationSettings &coordination)
+{
+    RelayedStoreOptions options;
+    options.m_node = settings.m_node;
+    options.m_dataCentre = settings.m_dataCentre;
+    options.m_prefix = format.m_watchedPrefix;
+    options.m_changeBound = settings.m_changeBound;
+    options.m_coordination = coordination;
+    return options;
+}
+
 //! @brief Endpoint of the target. The address is known to be valid, as the entry was decoded.
 boost::asio::ip::tcp::endpoint endpointOf(const TargetEntry &entry)
 {
@@ -90,15 +111,17 @@
 GatewayNode::Implementation::Implementation(boost::asio::io_context &context,
                                             const GatewaySettings &settings,
                                             const DeploymentFormat &format, MetadataStore &store,
-                                            Log &log)
+                                            Log &log, const CoordinationSettings &coordination)
     : m_context(context), m_settings(settings), m_format(format), m_log(log),
       m_engine(engineOptions(settings), bootTimeNow(), *this),
       m_client(context, ForwardClientOptions{}),
       m_callerServer(context, callerOptions(CallerLimits{})),
       m_readinessServer(context, HttpServerOptions{}),
       m_metricsServer(context, HttpServerOptions{}),
-      m_store(store, [this](std::uint64_t previous,
-                            std::uint64_t era) { storeEraChanged(previous, era); }),
+      m_relayedStore(std::make_shared<RelayedStore>(
+          context, store, relayOptions(settings, format, coordination), log)),
+      m_store(*m_relayedStore, [this](std::uint64_t previous,
+                                      std::uint64_t era) { storeEraChanged(previous, era); }),
       m_membership(std::make_shared<Membership>(context, m_store,
                                                 format.m_writablePrefix + "nodes/", settings.m_node,
                                                 settings.m_minimumLease)),
@@ -151,6 +174,7 @@
     if (!startError.empty()) {
         return startError;
     }
+    m_relayedStore->start();
     m_membership->start();
     m_storeSync.start([this] { storeStateChanged(); });
     tick();
@@ -291,6 +315,7 @@
                 "the store was restored from a copy; it is read again, and this node's keys are "
                 "written again",
                 {{"previous", previous}, {"era", era}});
+    m_relayedStore->storeEraChanged();
     m_storeSync.storeEraChanged();
     m_membership->storeEraChanged();
     m_crashPublisher->storeEraChanged();
@@ -300,10 +325,21 @@
 {
     m_engine.setNodeCount(m_membership->nodeCount(now));
     m_engine.registryChanged(now);
+    updateRelays(now);
     logReadiness();
     armEngineTimer();
 }
 
+void GatewayNode::Implementation::updateRelays(TimePoint now)
+{
+    const bool wasRelay = m_relayedStore->isRelay();
+    m_relayedStore->setRegisteredNodes(now, m_membership->linkedNodes());
+    if (m_relayedStore->isRelay() != wasRelay) {
+        m_storeSync.setWatchOptions(wasRelay ? watcherOptions(m_settings)
+                                             : relayWatcherOptions(m_settings));
+    }
+}
+
 void GatewayNode::Implementation::armEngineTimer()
 {
     const TimePoint next = m_engine.nextTimer();
@@ -369,8 +405,10 @@
 }
 
 GatewayNode::GatewayNode(boost::asio::io_context &context, const GatewaySettings &settings,
-                         const DeploymentFormat &format, MetadataStore &store, Log &log)
-    : m_implementation(std::make_shared<Implementation>(context, settings, format, store, log))
+                         const DeploymentFormat &format, MetadataStore &store, Log &log,
+                         const CoordinationSettings &coordination)
+    : m_implementation(
+        std::make_shared<Implementation>(context, settings, format, store, log, coordination))
 {
 }
 
--- a/libs/gatewaynode/src/lifecycle.cpp
+++ b/libs/gatewaynode/src/lifecycle.cpp
@@ -54,6 +54,7 @@
                  {"requestsInFlight", m_callerServer.requestsInFlight()},
                  {"idleConnections", before.m_idle}});
     m_storeSync.stop();
+    m_relayedStore->stop();
     m_membership->stop();
     waitForConnections();
 }
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -11,6 +11,32 @@
 
 } // namespace
 
+void GatewayNode::Implementation::addStoreMetrics(MetricFamilies &families) const
+{
+    const RelayedStoreStatistics &relayed = m_relayedStore->statistics();
+    const RelayServer &server = m_relayedStore->server();
+    const auto counter = [&families](std::string_view name, std::string_view help,
+                                     std::uint64_t value, MetricLabels labels = {}) {
+        addCounter(families, name, help, static_cast<double>(value), labels);
+    };
+    constexpr std::string_view watches = "arbutusgrade_store_watches_total";
+    counter(watches, "Watches by who was asked", relayed.m_storeWatches, {{"source", "store"}});
+    counter(watches, "Watches by who was asked", relayed.m_relayAnswers, {{"source", "relay"}});
+    counter("arbutusgrade_relay_doubts_total", "Answers of relays that were not used",
+            relayed.m_doubts);
+    constexpr std::string_view served = "arbutusgrade_relay_served_total";
+    counter(served, "Watches of other nodes", server.statistics().m_answered,
+            {{"result", "answered"}});
+    counter(served, "Watches of other nodes", server.statistics().m_refused,
+            {{"result", "refused"}});
+    counter("arbutusgrade_store_replies_discarded_total",
+            "Replies of the store that belong to another era", m_store.discardedReplies());
+    addGauge(families, "arbutusgrade_relay_role", "1 if the node is a relay",
+             m_relayedStore->isRelay() ? 1.0 : 0.0);
+    addGauge(families, "arbutusgrade_relay_pending", "Watches of other nodes that wait",
+             static_cast<double>(server.pendingCalls()));
+}
+
 MetricFamilies GatewayNode::Implementation::metrics() const
 {
     const ForwardStatistics &engine = m_engine.statistics();
@@ -50,8 +76,7 @@
     counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
     counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
             client.m_connectFailures);
-    counter("arbutusgrade_store_replies_discarded_total",
-            "Replies of the store that belong to another era", m_store.discardedReplies());
+    addStoreMetrics(families);
     counter("arbutusgrade_log_lines_dropped_total", "Decisions beyond the bound of the log",
             m_decisionLog.droppedLines());
     addGauge(families, "arbutusgrade_requests_in_flight", "Requests without an answer",
--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -47,6 +47,11 @@
         stableHash(m_prefix) ^ static_cast<std::uint64_t>(bootTimeNow().time_since_epoch().count());
 }
 
+void PrefixWatcher::setOptions(const PrefixWatcherOptions &options)
+{
+    m_options = options;
+}
+
 void PrefixWatcher::start()
 {
     restart(ReadConsistency::Stale);
@@ -177,7 +182,8 @@
         return;
     }
     m_handlers.m_changes(changes.m_events);
-    if (changes.m_events.size() >= backlogThreshold) {
+    // A relay has batched the changes already.
+    if (changes.m_isRelayed || changes.m_events.size() >= backlogThreshold) {
         watch(generation);
         return;
     }
--- /dev/null
+++ b/libs/gatewaynode/src/relaychoice.cpp
@@ -0,0 +1,160 @@
+#include "details/relaychoice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace arbutusgrade {
+
+namespace {
+
+constexpr int relayPauseDivisor = 8;
+
+//! @brief Score of a node in weighted rendezvous hashing: a node wins in proportion to its weight.
+double relayScore(const RegisteredNode &node)
+{
+    constexpr double range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    const std::uint64_t hash = rendezvousWeight("relay/" + node.m_dataCentre, node.m_name);
+    const double unit = (static_cast<double>(hash) + 0.5) / (range + 1.0);
+    return node.m_link.m_weight / -std::log(std::min(unit, std::nextafter(1.0, 0.0)));
+}
+
+bool hasHigherScore(const RegisteredNode &left, const RegisteredNode &right)
+{
+    const double leftScore = relayScore(left);
+    const double rightScore = relayScore(right);
+    return leftScore != rightScore ? leftScore > rightScore : left.m_name < right.m_name;
+}
+
+bool isSameLink(const RegisteredNode &left, const RegisteredNode &right)
+{
+    return left.m_name == right.m_name && left.m_link.m_address == right.m_link.m_address
+           && left.m_link.m_port == right.m_link.m_port;
+}
+
+} // namespace
+
+std::chrono::milliseconds relayPause(std::chrono::milliseconds changeBound)
+{
+    return changeBound / relayPauseDivisor;
+}
+
+std::chrono::milliseconds maximumRelayAge(std::chrono::milliseconds changeBound)
+{
+    return relayWait + relayPause(changeBound) + relayAgeMargin;
+}
+
+TimePoint dataTimeOfReply(TimePoint sentAt, std::chrono::milliseconds wait, TimePoint receivedAt)
+{
+    return std::min<TimePoint>(receivedAt, sentAt + wait + storeReplyMargin);
+}
+
+std::vector<RegisteredNode> selectRelays(std::span<const RegisteredNode> nodes,
+                                         std::string_view dataCentre)
+{
+    std::vector<RegisteredNode> candidates;
+    for (const RegisteredNode &node : nodes) {
+        if (node.m_dataCentre == dataCentre) {
+            candidates.push_back(node);
+        }
+    }
+    if (candidates.size() < minimumNodesForRelays) {
+        return {};
+    }
+    std::partial_sort(candidates.begin(),
+                      candidates.begin() + static_cast<std::ptrdiff_t>(relaysPerDataCentre),
+                      candidates.end(), hasHigherScore);
+    candidates.resize(relaysPerDataCentre);
+    return candidates;
+}
+
+bool setRelays(RelayRoute &route, std::string_view node, std::vector<RegisteredNode> relays)
+{
+    std::sort(relays.begin(), relays.end(),
+              [node](const RegisteredNode &left, const RegisteredNode &right) {
+                  return rendezvousWeight(node, left.m_name) > rendezvousWeight(node, right.m_name);
+              });
+    if (std::equal(relays.begin(), relays.end(), route.m_relays.begin(), route.m_relays.end(),
+                   isSameLink)) {
+        return false;
+    }
+    route.m_relays = std::move(relays);
+    std::erase_if(route.m_skippedUntil,
+                  [&route](const std::pair<const std::string, TimePoint> &skip) {
+                      return std::none_of(route.m_relays.begin(), route.m_relays.end(),
+                                          [&skip](const RegisteredNode &relay) {
+                                              return relay.m_name == skip.first;
+                                          });
+                  });
+    return true;
+}
+
+const RegisteredNode *chooseRelay(const RelayRoute &route, TimePoint now)
+{
+    for (const RegisteredNode &relay : route.m_relays) {
+        const std::map<std::string, TimePoint>::const_iterator skipped =
+            route.m_skippedUntil.find(relay.m_name);
+        if (skipped == route.m_skippedUntil.end() || now >= skipped->second) {
+            return &relay;
+        }
+    }
+    return nullptr;
+}
+
+void skipRelay(RelayRoute &route, TimePoint now, const std::string &name)
+{
+    route.m_skippedUntil[name] = now + relaySkipTime;
+}
+
+RelayCallTimes relayCallTimes(Duration dataAge, std::chrono::milliseconds maximumAge)
+{
+    const std::chrono::milliseconds remaining =
+        maximumAge - std::chrono::duration_cast<std::chrono::milliseconds>(dataAge);
+    const std::chrono::milliseconds wait =
+        std::clamp(remaining, std::chrono::milliseconds(0), relayWait);
+    const std::chrono::milliseconds timeout =
+        std::clamp(remaining + relayReplyMargin, minimumRelayTimeout, wait + relayReplyMargin);
+    return RelayCallTimes{wait, timeout};
+}
+
+std::string_view relayDoubtName(RelayDoubt doubt)
+{
+    switch (doubt) {
+    case RelayDoubt::NoReply:
+        return "no-reply";
+    case RelayDoubt::Refused:
+        return "refused";
+    case RelayDoubt::Unreadable:
+        return "unreadable";
+    case RelayDoubt::HistoryGone:
+        return "history-gone";
+    case RelayDoubt::OtherEra:
+        return "other-era";
+    case RelayDoubt::OldData:
+        return "old-data";
+    }
+    return "";
+}
+
+std::optional<RelayDoubt> judgeAnswer(const RelayAnswer &answer, StoreEra knownEra,
+                                      std::uint64_t afterRevision,
+                                      std::chrono::milliseconds maximumAge)
+{
+    if (answer.m_era != knownEra) {
+        return RelayDoubt::OtherEra;
+    }
+    if (answer.m_age > maximumAge) {
+        return RelayDoubt::OldData;
+    }
+    std::uint64_t previous = afterRevision;
+    for (const MetadataEvent &event : answer.m_events) {
+        const std::uint64_t revision = event.m_item.m_revision;
+        if (revision <= afterRevision || revision < previous || revision > answer.m_upTo) {
+            return RelayDoubt::Unreadable;
+        }
+        previous = revision;
+    }
+    return std::nullopt;
+}
+
+} // namespace arbutusgrade
--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -105,6 +105,7 @@
     std::uint64_t m_requestNumber = 0;
     //! Measured during the handshake: later measurements include delayed acknowledgements.
     std::optional<Duration> m_roundTrip;
+    std::string m_peerAddress;
     std::size_t m_drainedBytes = 0;
     bool m_timedOut = false;
     bool m_keepAlive = false;
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -50,6 +50,20 @@
     return nullptr;
 }
 
+//! @brief IP number of the peer; that of IPv4 also where the socket is one of IPv6.
+std::string peerAddress(const Tcp::socket &socket)
+{
+    error_code error;
+    const asio::ip::address address = socket.remote_endpoint(error).address();
+    if (error) {
+        return {};
+    }
+    if (address.is_v6() && address.to_v6().is_v4_mapped()) {
+        return asio::ip::make_address_v4(asio::ip::v4_mapped, address.to_v6()).to_string();
+    }
+    return address.to_string();
+}
+
 } // namespace
 
 HttpSession::HttpSession(Tcp::socket socket, std::weak_ptr<HttpServerState> state)
@@ -65,6 +79,7 @@
         details::setPeerTimeout(m_socket, state->m_options.m_peerTimeout);
     }
     m_roundTrip = details::roundTrip(m_socket);
+    m_peerAddress = peerAddress(m_socket);
     waitForRequest();
 }
 
@@ -247,6 +262,7 @@
     const std::uint64_t exchange = ++state->m_lastExchange;
     m_request.m_exchange = exchange;
     m_request.m_roundTrip = m_roundTrip;
+    m_request.m_peerAddress = m_peerAddress;
     m_request.m_isFirst = m_requestNumber == 0;
     const std::uint64_t number = ++m_requestNumber;
     const HttpResponder responder = [weak = weak_from_this(), number](HttpResponse response) {
--- a/standins/common/include/standins/httpserver.h
+++ b/standins/common/include/standins/httpserver.h
@@ -37,7 +37,7 @@
     unsigned m_status = 200;
     std::string m_body;
     ReplyMode m_mode = ReplyMode::Once;
-    std::vector<std::pair<std::string, std::string>> m_headers;
+    std::vector<std::pair<std::string, std::string>> m_headers{};
 };
 
 //! @brief Completes a request; may be called at once, later or never, from the server's thread.
