--- a/libs/gatewaynode/tests/relayedstoretest.cpp
+++ b/libs/gatewaynode/tests/relayedstoretest.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
@@ -156,6 +158,32 @@
     expectStoreIsAskedWithin(500ms);
 }
 
+// Guards against two delays that add up: a relay that was cut off from the store for a while and is
+// then silent.
+TEST_F(RelayedStoreTest, ASilentRelayWhoseDataWasOld)
+{
+    constexpr std::chrono::milliseconds age{1'900};
+    HttpServer once(m_context, HttpServerOptions{});
+    int calls = 0;
+    once.addRoute("GET", relayWatchPath,
+                  [&](const HttpRequest & /*request*/, const HttpResponder &responder) {
+                      HttpResponse response;
+                      response.m_body = encodeRelayAnswer(RelayAnswer{std::nullopt, 10, age, {}});
+                      if (++calls == 1) {
+                          responder(std::move(response));
+                      }
+                  });
+    ASSERT_FALSE(once.listen(loopbackAddress, 0));
+    followRelayAt(once.port());
+    begin();
+    std::this_thread::sleep_for(age); // The node's own data is as old.
+    watch();
+    runFor(m_context, 100ms);
+    ASSERT_EQ(m_results.size(), 1U);
+    m_results.clear();
+    expectStoreIsAskedWithin(maximumRelayAge(5s) + relayReplyMargin - age);
+}
+
 // Guards against changes that a restarted relay has missed.
 TEST_F(RelayedStoreTest, ARestartedRelay)
 {
