--- a/libs/gatewaynode/tests/relaychoicetest.cpp
+++ b/libs/gatewaynode/tests/relaychoicetest.cpp
@@ -16,6 +16,7 @@
 std::vector<RegisteredNode> makeNodes(int count, std::string_view dataCentre)
 {
     std::vector<RegisteredNode> nodes;
+    nodes.reserve(static_cast<std::size_t>(count));
     for (int node = 0; node < count; ++node) {
         nodes.push_back(RegisteredNode{std::string(dataCentre) + std::to_string(node),
                                        std::string(dataCentre),
--- a/libs/gatewaynode/tests/relayedstoretest.cpp
+++ b/libs/gatewaynode/tests/relayedstoretest.cpp
@@ -33,6 +33,7 @@
     void followRelayAt(std::uint16_t port)
     {
         std::vector<RegisteredNode> nodes;
+        nodes.reserve(minimumNodesForRelays);
         for (int node = 0; node < 8; ++node) {
             nodes.push_back(
                 RegisteredNode{"n" + std::to_string(node), "a", {"127.0.0.1", port, 1.0}});
--- a/standins/platform-standin/platform.cpp
+++ b/standins/platform-standin/platform.cpp
@@ -134,7 +134,7 @@
         }
         patch.erase("rollback");
     }
-    const std::string copyProblem = applyCopyFaults(patch);
+    std::string copyProblem = applyCopyFaults(patch);
     if (!copyProblem.empty()) {
         return copyProblem;
     }
