Merge the store's eras and the relays of its changes

The registrations with links, the quotas and the relays follow one revision of the registrations, so that a tick of a node copies no list of nodes.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -168,6 +168,7 @@
     bool m_draining = false;
     Duration m_warmupRemaining{0};
     std::int64_t m_started = 0;   //!< Start time, Unix milliseconds; identifies the process.
+    std::int64_t m_sequence = 0;  //!< Increases with each entry that the process writes.
     std::uint64_t m_revision = 0; //!< Of the store when the entry was written.
 };
 
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -11,8 +11,10 @@
 #include "details/callerrequests.h"
 #include "details/crashpublisher.h"
 #include "details/decisionlog.h"
+#include "details/eratracker.h"
 #include "details/membership.h"
 #include "details/quotaservice.h"
+#include "details/relayedstore.h"
 #include "details/storesync.h"
 #include "gatewaynode/gatewaynode.h"
 #include "transport/transport.h"
@@ -48,9 +50,11 @@
     void recordCallerPath(const HttpRequest &request);
     void attemptEnded(std::uint64_t attempt, ForwardEnd end, const ReplyContent &content);
     void storeStateChanged();
+    void storeEraChanged(std::uint64_t previous, std::uint64_t era);
     void updateEngine(TimePoint now);
     void updateQuotaLimits(TimePoint now);
-    void updateQuotaNodes(TimePoint now);
+    void updateNodes(TimePoint now);
+    void updateRelays(TimePoint now, std::span<const RegisteredNode> nodes);
     void armEngineTimer();
     void tick();
     void checkForSuspension(TimePoint now);
@@ -64,6 +68,7 @@
     void logUnansweredRequests();
 
     MetricFamilies metrics() const;
+    void addStoreMetrics(MetricFamilies &families) const;
 
     boost::asio::io_context &m_context;
     GatewaySettings m_settings;
@@ -74,15 +79,17 @@
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
+    std::shared_ptr<RelayedStore> m_relayedStore;
+    EraTracker m_store;
     std::shared_ptr<Membership> m_membership;
     std::shared_ptr<CrashPublisher> m_crashPublisher;
     StoreSync m_storeSync;
     DecisionLog m_decisionLog;
     QuotaService m_quotaService;
     Admission m_admission;
-    RoutingTablePointer m_quotaTable;                  //!< Whose limits are in force.
-    std::optional<std::uint64_t> m_quotaNodesRevision; //!< Of the registrations that are in force.
-    int m_quotaNodeCount = 0;
+    RoutingTablePointer m_quotaTable;             //!< Whose limits are in force.
+    std::optional<std::uint64_t> m_nodesRevision; //!< Of the registrations that are in force.
+    int m_nodeCount = 0;
     LatencyMetric m_latency;
     LatencyMetric m_callerRoundTrip;
 
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -60,6 +60,27 @@
     return options;
 }
 
+//! @brief Options of the watch of a relay, whose data must be fresher than that of other nodes.
+PrefixWatcherOptions relayWatcherOptions(const GatewaySettings &settings)
+{
+    PrefixWatcherOptions options;
+    options.m_watchTimeout = relayWait;
+    options.m_batchDelay = relayPause(settings.m_changeBound);
+    return options;
+}
+
+RelayedStoreOptions relayOptions(const GatewaySettings &settings, const DeploymentFormat &format,
+                                 const CoordinationSettings &coordination)
+{
+    RelayedStoreOptions options;
+    options.m_node = settings.m_node;
+    options.m_dataCentre = settings.m_dataCentre;
+    options.m_prefix = format.m_watchedPrefix;
+    options.m_changeBound = settings.m_changeBound;
+    options.m_coordination = coordination;
+    return options;
+}
+
 //! @brief Endpoint of the target. The address is known to be valid, as the entry was decoded.
 boost::asio::ip::tcp::endpoint endpointOf(const TargetEntry &entry)
 {
@@ -125,13 +146,17 @@
       m_callerServer(context, callerOptions(CallerLimits{})),
       m_readinessServer(context, HttpServerOptions{}),
       m_metricsServer(context, HttpServerOptions{}),
-      m_membership(std::make_shared<Membership>(context, store, format.m_writablePrefix + "nodes/",
-                                                settings.m_node, settings.m_minimumLease,
-                                                ownRegistration(settings, coordination))),
-      m_crashPublisher(std::make_shared<CrashPublisher>(context, store, crashPrefix(format),
+      m_relayedStore(std::make_shared<RelayedStore>(
+          context, store, relayOptions(settings, format, coordination), log)),
+      m_store(*m_relayedStore, [this](std::uint64_t previous,
+                                      std::uint64_t era) { storeEraChanged(previous, era); }),
+      m_membership(std::make_shared<Membership>(
+          context, m_store, format.m_writablePrefix + "nodes/", settings.m_node,
+          settings.m_minimumLease, ownRegistration(settings, coordination))),
+      m_crashPublisher(std::make_shared<CrashPublisher>(context, m_store, crashPrefix(format),
                                                         settings.m_minimumLease, log)),
-      m_storeSync(context, m_format, store, watcherOptions(settings), crashPrefix(format), m_engine,
-                  *m_membership, log),
+      m_storeSync(context, m_format, m_store, watcherOptions(settings), crashPrefix(format),
+                  m_engine, *m_membership, log),
       m_decisionLog(log),
       m_quotaService(context, settings.m_node, coordination, log,
                      [this](TimePoint now, std::uint64_t request, const QuotaDecision &decision) {
@@ -180,6 +205,7 @@
     if (!startError.empty()) {
         return startError;
     }
+    m_relayedStore->start();
     m_membership->start();
     m_storeSync.start([this] { storeStateChanged(); });
     tick();
@@ -370,27 +396,51 @@
     m_quotaService.setLimits(now, quotaLimits(*m_quotaTable));
 }
 
-void GatewayNode::Implementation::updateQuotaNodes(TimePoint now)
+void GatewayNode::Implementation::updateNodes(TimePoint now)
 {
     const int count = m_membership->registeredCount(now);
-    if (m_quotaNodesRevision == m_membership->revision() && m_quotaNodeCount == count) {
+    if (m_nodesRevision == m_membership->revision() && m_nodeCount == count) {
         return;
     }
-    m_quotaNodesRevision = m_membership->revision();
-    m_quotaNodeCount = count;
-    m_quotaService.setNodes(now, m_membership->linkedNodes(), count);
+    m_nodesRevision = m_membership->revision();
+    m_nodeCount = count;
+    const std::vector<RegisteredNode> linkedNodes = m_membership->linkedNodes();
+    m_engine.setNodes(m_membership->nodeNames());
+    m_quotaService.setNodes(now, linkedNodes, count);
+    updateRelays(now, linkedNodes);
+}
+
+void GatewayNode::Implementation::storeEraChanged(std::uint64_t previous, std::uint64_t era)
+{
+    m_log.write(LogLevel::Warning, "store-era-changed",
+                "the store was restored from a copy; it is read again, and this node's keys are "
+                "written again",
+                {{"previous", previous}, {"era", era}});
+    m_relayedStore->storeEraChanged();
+    m_storeSync.storeEraChanged();
+    m_membership->storeEraChanged();
+    m_crashPublisher->storeEraChanged();
 }
 
 void GatewayNode::Implementation::updateEngine(TimePoint now)
 {
     m_engine.setNodeCount(m_membership->nodeCount(now));
-    m_engine.setNodes(m_membership->nodeNames());
+    updateNodes(now);
     m_engine.registryChanged(now);
-    updateQuotaNodes(now);
     logReadiness();
     armEngineTimer();
 }
 
+void GatewayNode::Implementation::updateRelays(TimePoint now, std::span<const RegisteredNode> nodes)
+{
+    const bool wasRelay = m_relayedStore->isRelay();
+    m_relayedStore->setRegisteredNodes(now, nodes);
+    if (m_relayedStore->isRelay() != wasRelay) {
+        m_storeSync.setWatchOptions(wasRelay ? watcherOptions(m_settings)
+                                             : relayWatcherOptions(m_settings));
+    }
+}
+
 void GatewayNode::Implementation::armEngineTimer()
 {
     const TimePoint next = m_engine.nextTimer();
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -53,7 +53,8 @@
     std::uint64_t m_exchange = 0; //!< Names the exchange to the disconnect handler; never reused.
     //! Of the connection, measured by the system during its handshake; empty if it is not known.
     std::optional<Duration> m_roundTrip;
-    bool m_isFirst = false; //!< The first request on its connection.
+    bool m_isFirst = false;    //!< The first request on its connection.
+    std::string m_peerAddress; //!< IP number of the caller; empty if it is not known.
 
     //! @brief Value of a header, compared without regard to case; empty if it is absent.
     std::string_view header(std::string_view name) const;
@@ -164,6 +165,9 @@
     int m_status = 0;
     std::string m_body;
     HttpHeaders m_headers; //!< Only where the exchange asked for them.
+
+    //! @brief Value of a header, compared without regard to case; empty if it is absent.
+    std::string_view header(std::string_view name) const;
 };
 
 //! @brief What is special about one exchange.
@@ -187,6 +191,7 @@
         std::string m_contentType = "application/octet-stream";
         //! Hands over a reply that is too large or no HTTP, as one with status 0.
         bool m_reportUnreadable = false;
+        bool m_keepHeaders = false; //!< The reply has its headers.
     };
 
     //! @brief Takes the reply, or null if there was none in time.
