Move delegated shares of quotas sooner when a coordinator is gone

Change: the lease counts from the receipt of the last coordinator time that was echoed, on which the coordinator's own count rests; leases last 1,000 ms, reports go out every 300 ms, silence counts after 600 ms, idle tokens return after 4 s.

--- a/libs/quota/src/configuration.cpp
+++ b/libs/quota/src/configuration.cpp
@@ -38,8 +38,7 @@
     TimePoint mayDelegateAt = m_startedAt;
     std::deque<PendingRequest> waiting;
     for (CoordinatorLink &link : m_links) {
-        const TimePoint released =
-            link.m_delegated ? link.m_lastDelegatedAt + quotaLease : link.m_mayDelegateAt;
+        const TimePoint released = link.m_delegated ? delegationEnd(link) : link.m_mayDelegateAt;
         mayDelegateAt = std::max(mayDelegateAt, released);
         waiting.insert(waiting.end(), link.m_pending.begin(), link.m_pending.end());
     }
--- a/libs/quota/src/decisions.cpp
+++ b/libs/quota/src/decisions.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-//! The same for a node that has not replied since it was chosen.
-constexpr Duration firstReplyLimit = std::chrono::milliseconds(500);
-
 //! A request waits this long for a token.
 constexpr Duration pendingLimit = std::chrono::milliseconds(40);
 
--- a/libs/quota/src/details/coordinator.h
+++ b/libs/quota/src/details/coordinator.h
@@ -12,7 +12,7 @@
 namespace arbutusgrade {
 
 //! Lifetime of a delegation and of a token. Three regular reports fit into it.
-inline constexpr Duration quotaLease = std::chrono::milliseconds(1500);
+inline constexpr Duration quotaLease = std::chrono::milliseconds(1000);
 
 //! Uses in a report and grants in a reply; a use takes up to 40 bytes, a message at most 1,200.
 inline constexpr std::size_t maxQuotaUses = 24;
--- a/libs/quota/src/details/limiterstate.h
+++ b/libs/quota/src/details/limiterstate.h
@@ -13,6 +13,9 @@
 //! @brief State of a limiter, which connects its parts with the output.
 namespace arbutusgrade {
 
+//! A node that has not replied since it was chosen as coordinator counts as silent after this long.
+inline constexpr Duration firstReplyLimit = std::chrono::milliseconds(300);
+
 //! @brief Number of partitions, then the partition.
 using PartitionKey = std::pair<std::uint32_t, std::uint32_t>;
 
--- a/libs/quota/src/details/node.h
+++ b/libs/quota/src/details/node.h
@@ -77,6 +77,7 @@
 
     bool m_delegated = false; //!< The share was delegated to the current coordinator.
     TimePoint m_lastDelegatedAt;
+    TimePoint m_timeReceivedAt; //!< When m_coordinatorTime was received.
     TimePoint
         m_mayDelegateAt; //!< Until then the share may still count at the previous coordinator.
 
@@ -92,7 +93,7 @@
 inline constexpr Duration demandHorizon = std::chrono::milliseconds(500);
 
 //! Longest time between reports; three fit into a lease.
-inline constexpr Duration reportInterval = std::chrono::milliseconds(500);
+inline constexpr Duration reportInterval = std::chrono::milliseconds(300);
 
 //! Shortest time between reports of usage.
 inline constexpr Duration usageInterval = std::chrono::milliseconds(100);
@@ -133,6 +134,10 @@
 //! @brief True if the node may decide from its own share: it is delegated to nobody.
 bool mayDecideAlone(const CoordinatorLink &link, TimePoint now) noexcept;
 
+//! @brief When the share that was delegated last is free again. The coordinator counts the lease
+//! from a time of its own that the node had received and repeated before.
+TimePoint delegationEnd(const CoordinatorLink &link) noexcept;
+
 //! @brief When the next report is due.
 TimePoint nextReportAt(const CoordinatorLink &link) noexcept;
 
--- a/libs/quota/src/links.cpp
+++ b/libs/quota/src/links.cpp
@@ -7,10 +7,7 @@
 namespace {
 
 //! A coordinator without a reply for this long is passed over.
-constexpr Duration silenceLimit = std::chrono::milliseconds(1000);
-
-//! The same for a node that has not replied since it was chosen.
-constexpr Duration firstReplyLimit = std::chrono::milliseconds(500);
+constexpr Duration silenceLimit = std::chrono::milliseconds(600);
 
 //! Time between reports that ask whether a node that was passed over replies again. The first one
 //! is sent after the tokens of that node have been used or have expired.
@@ -85,7 +82,7 @@
     }
     carryTokens(link);
     if (link.m_delegated) {
-        link.m_mayDelegateAt = link.m_lastDelegatedAt + quotaLease;
+        link.m_mayDelegateAt = delegationEnd(link);
         link.m_delegated = false;
     }
     link.m_coordinator = std::move(node);
@@ -178,6 +175,7 @@
         }
         link.m_coordinatorSession = reply.m_coordinatorSession;
         link.m_coordinatorTime = reply.m_coordinatorTime;
+        link.m_timeReceivedAt = now;
         link.m_reportNow = true;
         if (restarted) {
             return;
--- a/libs/quota/src/node.cpp
+++ b/libs/quota/src/node.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 //! Tokens of an organisation without requests for this long are returned.
-constexpr Duration idleTime = std::chrono::seconds(2);
+constexpr Duration idleTime = std::chrono::seconds(4);
 
 //! Bounds the tokens that a node asks for.
 constexpr double greatestTarget = 1e6;
@@ -257,7 +257,10 @@
     const TimePoint sentAt{Duration(reply.m_reportSentAt)};
     link.m_awaitsReply = sentAt < link.m_lastSentAt;
     link.m_waitingSince = now;
-    link.m_coordinatorTime = std::max(link.m_coordinatorTime, reply.m_coordinatorTime);
+    if (reply.m_coordinatorTime > link.m_coordinatorTime) {
+        link.m_coordinatorTime = reply.m_coordinatorTime;
+        link.m_timeReceivedAt = now;
+    }
     // An expired delegation is renewed at once, with the time that this reply has brought.
     const std::int64_t echoAge = reply.m_coordinatorTime - link.m_lastEcho;
     if (!link.m_awaitsReply && echoAge >= quotaLease.count()) {
@@ -285,6 +288,11 @@
     return !link.m_delegated && now >= link.m_mayDelegateAt;
 }
 
+TimePoint delegationEnd(const CoordinatorLink &link) noexcept
+{
+    return std::min(link.m_lastDelegatedAt, link.m_timeReceivedAt) + quotaLease;
+}
+
 TimePoint nextReportAt(const CoordinatorLink &link) noexcept
 {
     if (link.m_reportNow) {
