Tell callers above the quota to come back one after the other

Change: each refusal takes the next place in the rate at which this node admits requests of the organisation, at least its share of the limit.

--- a/libs/quota/src/decisions.cpp
+++ b/libs/quota/src/decisions.cpp
@@ -31,15 +31,18 @@
     return {QuotaVerdict::Undecided, withJitter(undecidedRetry), {}};
 }
 
-QuotaDecision QuotaLimiter::Implementation::refused(const CoordinatorLink &link,
-                                                    const HeldTokens &tokens, TimePoint now)
+QuotaDecision QuotaLimiter::Implementation::refused(const CoordinatorLink &link, HeldTokens &tokens,
+                                                    TimePoint now)
 {
     if (tokens.m_coordinatorCannotTell) {
         return undecided();
     }
     ++m_statistics.m_exhausted;
     const Duration wait = std::max(tokens.m_tokenExpectedAt - now, Duration(0));
-    return {QuotaVerdict::Exhausted, withJitter(wait), link.m_coordinator};
+    const double ownRate = tokens.m_basis.m_rate / std::max(m_nodes, 1);
+    const double rate = std::max(takenRate(tokens, now), ownRate);
+    const Duration place = scheduleRetry(tokens.m_retryBacklog, now, rate);
+    return {QuotaVerdict::Exhausted, withJitter(wait) + place, link.m_coordinator};
 }
 
 QuotaDecision QuotaLimiter::Implementation::decideAlone(CoordinatorLink &link, HeldTokens &tokens,
--- a/libs/quota/src/details/limiterstate.h
+++ b/libs/quota/src/details/limiterstate.h
@@ -51,7 +51,7 @@
 
     QuotaDecision admittedBy(const CoordinatorLink &link);
     QuotaDecision undecided();
-    QuotaDecision refused(const CoordinatorLink &link, const HeldTokens &tokens, TimePoint now);
+    QuotaDecision refused(const CoordinatorLink &link, HeldTokens &tokens, TimePoint now);
 
     //! Decides without the coordinator.
     QuotaDecision decideAlone(CoordinatorLink &link, HeldTokens &tokens, TimePoint now);
--- a/libs/quota/src/details/node.h
+++ b/libs/quota/src/details/node.h
@@ -11,6 +11,19 @@
 //! @brief State of a node towards the coordinators: tokens held, demand, reports and delegation.
 namespace arbutusgrade {
 
+//! @brief Refused requests whose callers have been told when to come back.
+struct RetryBacklog
+{
+    double m_requests = 0.0; //!< Still to come back.
+    TimePoint m_updatedAt;
+};
+
+//! @brief Gives each refused request a later place in the rate, so that callers who come back are
+//! not refused together once more.
+//! @param rate of the requests that are admitted, per second; above 0.
+//! @return the time until its place.
+Duration scheduleRetry(RetryBacklog &backlog, TimePoint now, double rate) noexcept;
+
 //! @brief Tokens and demand of one organisation at this node. The counters are cumulative since the
 //! start of the session with the coordinator and never restart within it.
 struct HeldTokens
@@ -30,6 +43,9 @@
     TimePoint m_demandAt;
     TimePoint m_lastSeen;
     std::uint32_t m_pending = 0; //!< Requests that wait for a token.
+    double m_taken = 0.0;        //!< Tokens taken in about the last takenHorizon.
+    TimePoint m_takenAt;
+    RetryBacklog m_retryBacklog;
 
     bool m_active = false;           //!< In CoordinatorLink::m_active.
     bool m_unacknowledged = false;   //!< Counters have changed since the last answered report.
@@ -110,6 +126,9 @@
 //! @brief Unused tokens of the current coordinator, without regard to their expiry.
 std::uint64_t unusedTokens(const HeldTokens &tokens) noexcept;
 
+//! @brief Rate at which tokens have been taken at this node, per second.
+double takenRate(const HeldTokens &tokens, TimePoint now) noexcept;
+
 //! @brief Takes a valid token.
 bool takeToken(CoordinatorLink &link, HeldTokens &tokens, TimePoint now) noexcept;
 
--- a/libs/quota/src/node.cpp
+++ b/libs/quota/src/node.cpp
@@ -12,6 +12,12 @@
 //! Tokens of an organisation without requests for this long are returned.
 constexpr Duration idleTime = std::chrono::seconds(4);
 
+//! Time over which the rate of admitted requests is smoothed.
+constexpr Duration takenHorizon = std::chrono::seconds(2);
+
+//! Longest time that a caller is told to wait for its place; few callers wait longer.
+constexpr double longestRetrySeconds = 30.0;
+
 //! Bounds the tokens that a node asks for.
 constexpr double greatestTarget = 1e6;
 
@@ -26,11 +32,21 @@
 //! Greater counters are taken for corrupt.
 constexpr std::uint64_t greatestCounter = std::uint64_t{1} << 60U;
 
+//! @brief Factor by which a count that is smoothed over the horizon has decayed.
+double decay(Duration elapsed, Duration horizon) noexcept
+{
+    return std::exp(-std::max(std::chrono::duration<double>(elapsed) / horizon, 0.0));
+}
+
 double decayedDemand(const HeldTokens &tokens, TimePoint now) noexcept
 {
-    const std::chrono::duration<double> elapsed = now - tokens.m_demandAt;
-    const std::chrono::duration<double> horizon = demandHorizon;
-    return tokens.m_demand * std::exp(-std::max(elapsed / horizon, 0.0));
+    return tokens.m_demand * decay(now - tokens.m_demandAt, demandHorizon);
+}
+
+void recordTaken(HeldTokens &tokens, TimePoint now) noexcept
+{
+    tokens.m_taken = tokens.m_taken * decay(now - tokens.m_takenAt, takenHorizon) + 1.0;
+    tokens.m_takenAt = now;
 }
 
 bool asksAhead(const HeldTokens &tokens, TimePoint now) noexcept
@@ -157,6 +173,23 @@
     tokens.m_lastSeen = now;
 }
 
+Duration scheduleRetry(RetryBacklog &backlog, TimePoint now, double rate) noexcept
+{
+    const std::chrono::duration<double> elapsed = now - backlog.m_updatedAt;
+    backlog.m_requests = std::max(backlog.m_requests - elapsed.count() * rate, 0.0);
+    backlog.m_updatedAt = now;
+    const std::chrono::duration<double> wait(
+        std::min(backlog.m_requests / rate, longestRetrySeconds));
+    backlog.m_requests = std::min(backlog.m_requests + 1.0, longestRetrySeconds * rate);
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+double takenRate(const HeldTokens &tokens, TimePoint now) noexcept
+{
+    const std::chrono::duration<double> horizon = takenHorizon;
+    return tokens.m_taken * decay(now - tokens.m_takenAt, takenHorizon) / horizon.count();
+}
+
 std::uint64_t targetTokens(const HeldTokens &tokens, TimePoint now) noexcept
 {
     if (tokens.m_demand <= 0 || now - tokens.m_lastSeen >= idleTime) {
@@ -175,12 +208,14 @@
 {
     if (tokens.m_carried > 0 && now < link.m_carriedUntil) {
         --tokens.m_carried;
+        recordTaken(tokens, now);
         return true;
     }
     if (unusedTokens(tokens) == 0 || now >= link.m_validUntil) {
         return false;
     }
     ++tokens.m_consumed;
+    recordTaken(tokens, now);
     markChanged(link, tokens);
     const bool low =
         2 * unusedTokens(tokens) < targetTokens(tokens, now) && now >= tokens.m_askAfter;
--- a/libs/quota/tests/limitertest.cpp
+++ b/libs/quota/tests/limitertest.cpp
@@ -213,12 +213,14 @@
     }
 
     //! Answers the last report.
-    void reply(std::uint64_t session, std::uint64_t granted)
+    void reply(std::uint64_t session, std::uint64_t granted,
+               std::uint32_t retryAfterMilliseconds = 0)
     {
         const QuotaReport report = m_output.m_reports.back();
         QuotaReply reply{report.m_nodeSession, session, report.m_sentAt, 1, 0, 1, true, {}};
         reply.m_coordinatorTime = m_now.time_since_epoch().count();
-        reply.m_grants = {{stableHash("large"), granted, 0, false, false}};
+        const bool exhausted = retryAfterMilliseconds > 0;
+        reply.m_grants = {{stableHash("large"), granted, retryAfterMilliseconds, exhausted, false}};
         m_limiter.receiveReply(m_now, m_output.m_reportedTo, reply);
     }
 
@@ -322,6 +324,27 @@
     EXPECT_EQ(m_limiter.statistics().m_admittedAlone, 0U);
 }
 
+// Guards against refused callers that all come back at the same time and are refused once more.
+TEST_F(QuotaNode, RefusedRequestsAreToldToComeBackOneAfterTheOther)
+{
+    createDemand();
+    m_now += std::chrono::milliseconds(20);
+    reply(5, 0, 10);
+    Duration previous{0};
+    for (int request = 0; request < 20; ++request) {
+        const QuotaDecision decision = m_limiter.admit(m_now, "large", ++m_request);
+        ASSERT_EQ(decision.m_verdict, QuotaVerdict::Exhausted);
+        previous = std::max(previous, decision.m_retryAfter);
+    }
+    // Of 500 requests/s, a third is this node's; 30 have been refused.
+    EXPECT_GE(previous, std::chrono::milliseconds(170));
+    EXPECT_LE(previous, std::chrono::milliseconds(220));
+    m_now += std::chrono::seconds(1);
+    reply(5, 0, 10);
+    EXPECT_LE(m_limiter.admit(m_now, "large", ++m_request).m_retryAfter,
+              std::chrono::milliseconds(30));
+}
+
 // Guards against unlimited waiting requests, and requests that are decided twice or never.
 TEST(QuotaRequests, WaitingRequestsAreBoundedAndDecidedOnce)
 {
