Mend what the review of quotas and relays found

Only a new start of the order does now, and unchanged registrations no longer count as a change. - An organisation that lost its limit ended the session of its partition, and with it the tokens and the burst of all others. Its counters are kept instead. - A report or reply that is lost is repeated after 15 ms while requests wait, and requests that did not fit into a report are asked for with the next one (no test). - Nodes that are cut off from the store go on using their share, so a registration that ends counts for another hour in the number of shares. - A node whose own registration has not come back yet refused all requests with a limit although it was ready (no test). - Answers of relays are at most 128 KB, as a relay may owe one to each node of its data centre, and the age of data in an answer with changes counts from its call. - The reserve of the budget for extra attempts, the wait behind more urgent requests and limits for cold targets apply only with organisations or settings that ask for them. The tests of these now state them.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -650,7 +650,7 @@
     std::string m_node;
     std::string m_dataCentre;
     RetryBudgetLimits m_budget;
-    WarmupTolerance m_warmup;
+    std::optional<WarmupTolerance> m_warmup; //!< Absent: cold targets have no limit.
 };
 
 struct ForwardStatistics
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -52,6 +52,12 @@
            != subrequest.m_triedTargetIds.end();
 }
 
+//! @brief Priority for the budget of extra attempts. Only organisations compete for it.
+int budgetPriorityOf(const PendingRequest &pending)
+{
+    return pending.m_routingTable->m_definesOrganisations ? priorityOf(pending) : 0;
+}
+
 } // namespace
 
 int priorityOf(const PendingRequest &pending)
@@ -75,17 +81,17 @@
 {
     const std::unordered_map<std::string, WarmupLimit>::const_iterator found =
         pending.m_routingTable->m_warmupLimits.find(service.m_name);
-    if (found == pending.m_routingTable->m_warmupLimits.end()) {
+    if (!m_options.m_warmup || found == pending.m_routingTable->m_warmupLimits.end()) {
         return std::nullopt;
     }
-    return WarmupCriteria{found->second, m_options.m_warmup, m_options.m_node, m_nodes,
+    return WarmupCriteria{found->second, *m_options.m_warmup, m_options.m_node, m_nodes,
                           m_options.m_budget.m_nodes};
 }
 
 void ForwardEngine::Implementation::recordRequest(TimePoint now, const PendingRequest &pending,
                                                   ServiceState &service) const
 {
-    recordFirstAttempt(service.m_budget, m_options.m_budget, now, priorityOf(pending));
+    recordFirstAttempt(service.m_budget, m_options.m_budget, now, budgetPriorityOf(pending));
     if (service.m_lastRequestAt != TimePoint()) {
         const Duration interval = now - service.m_lastRequestAt;
         service.m_requestInterval =
@@ -187,12 +193,12 @@
     }
     if (subrequest.m_possibleDeliveries > 0) {
         if (!allowsExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
-                                m_startedAt, priorityOf(pending))) {
+                                m_startedAt, budgetPriorityOf(pending))) {
             ++m_statistics.m_budgetDenied;
             return SendResult::NoBudget;
         }
         recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
-                           priorityOf(pending));
+                           budgetPriorityOf(pending));
     }
     if (criteria.m_warmup) {
         recordColdRequest(*target, now, criteria.m_warmup->m_limit);
@@ -237,7 +243,8 @@
                                                     const ServiceState &service)
 {
     const QueuedSubrequest *next = nextEntry(service.m_queue);
-    return next != nullptr && next->m_priority < priorityOf(pending);
+    return pending.m_routingTable->m_definesOrganisations && next != nullptr
+           && next->m_priority < priorityOf(pending);
 }
 
 void ForwardEngine::Implementation::sendHedge(TimePoint now, PendingRequest &pending,
--- a/libs/forwarding/tests/enginefixture.cpp
+++ b/libs/forwarding/tests/enginefixture.cpp
@@ -11,6 +11,7 @@
     ForwardOptions options;
     options.m_dataCentre = "a";
     options.m_budget = RetryBudgetLimits{0.2, 100.0, std::chrono::seconds(10), 1};
+    options.m_warmup = WarmupTolerance{};
     return options;
 }
 
--- a/libs/forwarding/tests/engineroomtest.cpp
+++ b/libs/forwarding/tests/engineroomtest.cpp
@@ -166,6 +166,7 @@
 TEST_F(EngineRoom, RetriesLeaveFreedRoomToMoreUrgentRequests)
 {
     m_table.m_connectionLimits["orders"] = 1;
+    m_table.m_definesOrganisations = true;
     applyTable(2);
     for (const std::string id : {"ordersb", "ordersc"}) {
         m_engine.registry().m_targets[id]->m_down = true;
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -168,6 +168,8 @@
     std::string m_address; //!< IP number.
     std::uint16_t m_port = 0;
     double m_weight = 1.0; //!< Processor share, in cores.
+
+    bool operator==(const NodeLinkSettings &other) const = default;
 };
 
 //! @brief A node that is registered in the store with its link.
@@ -176,6 +178,8 @@
     std::string m_name;
     std::string m_dataCentre;
     NodeLinkSettings m_link;
+
+    bool operator==(const RegisteredNode &other) const = default;
 };
 
 //! @brief Settings of what nodes do together. What is absent is switched off.
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -44,9 +44,9 @@
     //! @brief Number of nodes that share the limits, including recently expired ones.
     int nodeCount(TimePoint now);
 
-    //! @brief Number of nodes that are registered, including recently expired ones. Unlike
-    //! nodeCount(), without an assumption while the registrations have not been read.
-    int registeredCount(TimePoint now);
+    //! @brief Number of nodes that may use a share of the quotas: those that are registered, and
+    //! those whose registration ended within the last hour, as they may be cut off from the store.
+    int quotaShareCount(TimePoint now);
 
     //! @brief Nodes that are registered with a link, including recently expired ones, sorted by
     //! name. Those that have expired are dropped by nodeCount().
@@ -77,6 +77,7 @@
     void applyRegistration(const MetadataItem &item);
     void removeRegistration(const std::string &key);
     void dropExpiredLinks(TimePoint now);
+    int registeredCount(TimePoint now);
 
     struct RetainedCount
     {
@@ -102,6 +103,7 @@
     std::deque<RetainedCount> m_retainedCounts; //!< Earlier, higher counts; greatest first.
     TimePoint m_initialCountExpires; //!< Until then, the count is not below an assumed one.
     std::map<std::string, LinkedNode> m_linkedNodes; //!< By key.
+    std::map<std::string, TimePoint> m_endedKeys;    //!< With the time until which they count.
     std::uint64_t m_revision = 0;
     bool m_stopped = false;
 };
--- a/libs/gatewaynode/src/details/quotaservice.h
+++ b/libs/gatewaynode/src/details/quotaservice.h
@@ -47,6 +47,10 @@
 
     //! @brief Sets the registered nodes. This node takes part once it is one of them.
     //! @param nodeCount number of all registered nodes, with or without a link.
+    //! @brief False while quotas are active and the nodes that share them are not known. Not for
+    //! longer than a few seconds, as the store may not take the registration of this node.
+    bool isSettled(TimePoint now) const;
+
     void setNodes(TimePoint now, std::span<const RegisteredNode> nodes, int nodeCount);
 
     //! @brief Sets the limits of the configuration in force; entries without a limit are ignored.
@@ -91,6 +95,7 @@
     std::unordered_set<std::uint64_t> m_pending; //!< Requests that wait for a decision.
     std::vector<Decision> m_decisions;           //!< Not yet handed over.
     bool m_isActive = false;
+    TimePoint m_activatedAt;
     bool m_isDelivering = false;
     bool m_isCoordinator = false; //!< As logged.
     bool m_loggedOpenError = false;
--- a/libs/gatewaynode/src/details/relayhistory.h
+++ b/libs/gatewaynode/src/details/relayhistory.h
@@ -19,7 +19,7 @@
     static constexpr std::size_t maximumBytes = 4 * 1024 * 1024;
 
     //! Of the events of one answer, as they are sent.
-    static constexpr std::size_t answerLimitBytes = 1024 * 1024;
+    static constexpr std::size_t answerLimitBytes = 128 * 1024;
 
     //! @brief Drops all changes, for example as the store is in another era.
     void clear();
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -40,7 +40,7 @@
     options.m_budget.m_ratio = settings.m_extraArrivalRatio;
     options.m_budget.m_slack = settings.m_extraArrivalSlack;
     options.m_budget.m_window = settings.m_extraArrivalWindow;
-    options.m_warmup = coordination.m_warmup.value_or(WarmupTolerance{});
+    options.m_warmup = coordination.m_warmup;
     return options;
 }
 
@@ -398,7 +398,7 @@
 
 void GatewayNode::Implementation::updateNodes(TimePoint now)
 {
-    const int count = m_membership->registeredCount(now);
+    const int count = m_membership->quotaShareCount(now);
     if (m_nodesRevision == m_membership->revision() && m_nodeCount == count) {
         return;
     }
@@ -494,7 +494,9 @@
 
 bool GatewayNode::Implementation::isReady() const
 {
-    return m_storeSync.isComplete() && !m_shutdown && !m_engine.isIsolated(bootTimeNow());
+    const TimePoint now = bootTimeNow();
+    return m_storeSync.isComplete() && !m_shutdown && m_quotaService.isSettled(now)
+           && !m_engine.isIsolated(now);
 }
 
 void GatewayNode::Implementation::logReadiness()
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -21,6 +21,11 @@
 // without contact to the store.
 constexpr Duration countRetention = std::chrono::seconds(15);
 
+// A node that is cut off from the store goes on using its share of the quotas. Cuts between regions
+// last up to an hour.
+constexpr Duration quotaShareRetention = std::chrono::hours(1);
+constexpr std::size_t maximumEndedKeys = 4'096;
+
 // Assumed until the registrations have been read, so that a new node does not use the limits as if
 // it were the only one.
 constexpr int initialNodeCount = 12;
@@ -55,6 +60,14 @@
     return now < m_initialCountExpires ? std::max(count, initialNodeCount) : count;
 }
 
+int Membership::quotaShareCount(TimePoint now)
+{
+    std::erase_if(m_endedKeys, [now](const std::pair<const std::string, TimePoint> &ended) {
+        return now >= ended.second;
+    });
+    return registeredCount(now) + static_cast<int>(m_endedKeys.size());
+}
+
 int Membership::registeredCount(TimePoint now)
 {
     while (!m_retainedCounts.empty() && now >= m_retainedCounts.front().m_expires) {
@@ -203,21 +216,29 @@
 
 void Membership::applyRegistration(const MetadataItem &item)
 {
-    ++m_revision;
-    m_registeredKeys.insert(item.m_key);
+    bool changed = m_registeredKeys.insert(item.m_key).second;
+    m_endedKeys.erase(item.m_key);
     const std::string_view name = std::string_view(item.m_key).substr(m_prefix.size());
     const std::optional<RegisteredNode> node = decodeRegistration(name, item.m_value);
     if (node) {
-        m_linkedNodes[item.m_key] = LinkedNode{*node, farFuture};
+        LinkedNode &linked = m_linkedNodes[item.m_key];
+        changed = changed || linked.m_node != *node;
+        linked = LinkedNode{*node, farFuture};
     } else {
-        m_linkedNodes.erase(item.m_key);
+        changed = m_linkedNodes.erase(item.m_key) > 0 || changed;
     }
+    m_revision += changed ? 1 : 0;
 }
 
 void Membership::removeRegistration(const std::string &key)
 {
+    if (m_registeredKeys.erase(key) == 0) {
+        return;
+    }
     ++m_revision;
-    m_registeredKeys.erase(key);
+    if (m_endedKeys.size() < maximumEndedKeys) {
+        m_endedKeys[key] = bootTimeNow() + quotaShareRetention;
+    }
     const std::map<std::string, LinkedNode>::iterator found = m_linkedNodes.find(key);
     if (found != m_linkedNodes.end()) {
         found->second.m_expires = std::min(found->second.m_expires, bootTimeNow() + countRetention);
--- a/libs/gatewaynode/src/quotaservice.cpp
+++ b/libs/gatewaynode/src/quotaservice.cpp
@@ -10,6 +10,9 @@
 
 constexpr Duration openRetryInterval = std::chrono::seconds(1);
 
+// A new node has read the registrations, its own among them, within this time if the store works.
+constexpr Duration settlingTime = std::chrono::seconds(3);
+
 //! @brief Returns a random number other than 0, which no other process is likely to have.
 std::uint64_t newSession()
 {
@@ -101,6 +104,11 @@
     updatePeers(now);
 }
 
+bool QuotaService::isSettled(TimePoint now) const
+{
+    return !m_isActive || !m_peers.empty() || now - m_activatedAt >= settlingTime;
+}
+
 void QuotaService::updatePeers(TimePoint now)
 {
     if (m_limiter && !m_peers.empty()) {
@@ -131,6 +139,7 @@
 void QuotaService::activate(TimePoint now)
 {
     m_isActive = true;
+    m_activatedAt = now;
     if (!m_limiter) {
         QuotaOptions options;
         options.m_node = m_node;
--- a/libs/gatewaynode/src/relayedstore.cpp
+++ b/libs/gatewaynode/src/relayedstore.cpp
@@ -52,14 +52,6 @@
     return addresses;
 }
 
-bool isSameNode(const RegisteredNode &left, const RegisteredNode &right)
-{
-    return left.m_name == right.m_name && left.m_dataCentre == right.m_dataCentre
-           && left.m_link.m_address == right.m_link.m_address
-           && left.m_link.m_port == right.m_link.m_port
-           && left.m_link.m_weight == right.m_link.m_weight;
-}
-
 } // namespace
 
 RelayedStore::RelayedStore(boost::asio::io_context &context, MetadataStore &store,
@@ -95,8 +87,7 @@
 
 void RelayedStore::setRegisteredNodes(TimePoint now, std::span<const RegisteredNode> nodes)
 {
-    const bool isUnchanged =
-        std::equal(nodes.begin(), nodes.end(), m_nodes.begin(), m_nodes.end(), isSameNode);
+    const bool isUnchanged = std::equal(nodes.begin(), nodes.end(), m_nodes.begin(), m_nodes.end());
     if (!m_options.m_coordination.m_link || isUnchanged) {
         return;
     }
@@ -273,8 +264,11 @@
         return;
     }
     ++m_statistics.m_relayAnswers;
+    // An answer with changes may have been built as soon as the watch arrived.
+    const std::chrono::milliseconds waited =
+        answer.m_events.empty() ? watch.m_relayWait : std::chrono::milliseconds(0);
     const TimePoint receivedData =
-        dataTimeOfReply(watch.m_sentAt, watch.m_relayWait, bootTimeNow()) - answer.m_age;
+        dataTimeOfReply(watch.m_sentAt, waited, bootTimeNow()) - answer.m_age;
     m_dataTime = std::max(m_dataTime, receivedData);
     MetadataChanges changes;
     changes.m_status = MetadataStatus::Ok;
--- a/libs/gatewaynode/tests/membershiptest.cpp
+++ b/libs/gatewaynode/tests/membershiptest.cpp
@@ -79,6 +79,23 @@
     EXPECT_FALSE(decodeRegistration("n0", valid + std::string(2'000, ' ')));
 }
 
+// Guards against a share of the quotas that others take over while its node, which is cut off from
+// the store, still uses it, and against work for registrations that have not changed.
+TEST(Membership, CountsSharesOfNodesWhoseRegistrationEnded)
+{
+    boost::asio::io_context context;
+    FakeStore store;
+    const std::shared_ptr<Membership> membership =
+        std::make_shared<Membership>(context, store, "own/nodes/", "n0", 1s);
+    membership->applySnapshot({{"own/nodes/n0", "n0", 1}, {"own/nodes/n1", "n1", 1}});
+    membership->applyChanges({MetadataEvent{{"own/nodes/n1", "", 2}, true}});
+    EXPECT_EQ(membership->quotaShareCount(bootTimeNow() + 59min), 2);
+    const std::uint64_t revision = membership->revision();
+    membership->applyChanges({MetadataEvent{{"own/nodes/n0", "n0", 3}, false}});
+    EXPECT_EQ(membership->revision(), revision);
+    EXPECT_EQ(membership->quotaShareCount(bootTimeNow() + 61min), 1);
+}
+
 // Guards against links that are lost when registrations lapse while their nodes still run, and
 // against a count that the assumption for the start makes too high.
 TEST(Membership, KeepsLinksForAWhileAfterTheirRegistration)
@@ -96,7 +113,7 @@
                                {"own/nodes/n1", encodeRegistration(other), 1},
                                {"own/nodes/n2", "n2", 1}});
     EXPECT_TRUE(membership->isRegistered());
-    EXPECT_EQ(membership->registeredCount(bootTimeNow()), 3);
+    EXPECT_EQ(membership->quotaShareCount(bootTimeNow()), 3);
     ASSERT_EQ(membership->linkedNodes().size(), 2U);
     const std::uint64_t revision = membership->revision();
     membership->applyChanges({MetadataEvent{{"own/nodes/n1", "", 2}, true}});
--- a/libs/gatewaynode/tests/relaychoicetest.cpp
+++ b/libs/gatewaynode/tests/relaychoicetest.cpp
@@ -164,16 +164,16 @@
     history.append(now + RelayHistory::retention, now, 20, makeChanges(20, 21));
     EXPECT_FALSE(history.changesAfter(now, 10));
     EXPECT_TRUE(history.changesAfter(now, 20));
-    for (std::uint64_t revision = 21; revision < 41; ++revision) {
+    for (std::uint64_t revision = 21; revision < 161; ++revision) {
         MetadataChanges changes = makeChanges(revision, revision + 1);
-        changes.m_events[0].m_item.m_value.assign(300'000, 'x');
+        changes.m_events[0].m_item.m_value.assign(37'000, 'x');
         history.append(now, now, revision, changes);
     }
     EXPECT_FALSE(history.changesAfter(now, 21));
-    const std::optional<RelayAnswer> answer = history.changesAfter(now, 35);
+    const std::optional<RelayAnswer> answer = history.changesAfter(now, 155);
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->m_events.size(), 2U);
-    EXPECT_EQ(answer->m_upTo, 37U);
+    EXPECT_EQ(answer->m_upTo, 157U);
     EXPECT_LE(encodeRelayAnswer(*answer).size(), RelayHistory::answerLimitBytes);
 }
 
--- a/libs/quota/src/configuration.cpp
+++ b/libs/quota/src/configuration.cpp
@@ -85,9 +85,6 @@
         });
         chooseCoordinator(link, now, "registrations");
     }
-    for (std::pair<const std::uint64_t, HeldTokens> &entry : m_tokens) {
-        updateRank(entry.second);
-    }
     updateCoordinators(now);
 }
 
@@ -106,28 +103,19 @@
     }
 }
 
-void QuotaLimiter::Implementation::updateRank(HeldTokens &tokens)
-{
-    tokens.m_rank = rendezvousRank(m_peers, tokens.m_organisation, m_options.m_node);
-}
-
 void QuotaLimiter::Implementation::removeOrganisations()
 {
-    std::set<std::uint32_t> changed;
-    for (auto entry = m_tokens.begin(); entry != m_tokens.end();) {
-        if (m_bases.contains(entry->first)) {
-            ++entry;
+    for (std::pair<const std::uint64_t, HeldTokens> &entry : m_tokens) {
+        HeldTokens &tokens = entry.second;
+        if (!tokens.m_isLimited || m_bases.contains(entry.first)) {
             continue;
         }
-        changed.insert(entry->second.m_partition);
+        tokens.m_isLimited = false;
+        tokens.m_returned += unusedTokens(tokens);
+        tokens.m_carried = 0;
+        tokens.m_active = false;
         if (!m_links.empty()) {
-            std::erase(m_links[entry->second.m_partition].m_active, &entry->second);
-        }
-        entry = m_tokens.erase(entry);
-    }
-    for (CoordinatorLink &link : m_links) {
-        if (changed.contains(link.m_partition)) {
-            startSession(link);
+            std::erase(m_links[tokens.m_partition].m_active, &tokens);
         }
     }
 }
@@ -151,13 +139,13 @@
         const auto [entry, inserted] = m_tokens.try_emplace(basis->first);
         HeldTokens &tokens = entry->second;
         tokens.m_basis = basis->second;
+        tokens.m_isLimited = true;
         if (inserted) {
             tokens.m_organisation = limit.m_organisation;
             tokens.m_hash = basis->first;
             tokens.m_partition = static_cast<std::uint32_t>(basis->first % m_partitions);
             tokens.m_demandAt = now;
             tokens.m_ownBucket.m_updatedAt = now;
-            updateRank(tokens);
         }
     }
     for (std::pair<const PartitionKey, PartitionCoordinator> &entry : m_coordinators) {
--- a/libs/quota/src/decisions.cpp
+++ b/libs/quota/src/decisions.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "details/fallback.h"
+#include "details/selection.h"
 
 namespace arbutusgrade {
 
@@ -52,7 +53,8 @@
         return undecided();
     }
     const bool fresh = now < link.m_mayDelegateAt + quotaLease;
-    const double capacity = fallbackCapacity(tokens.m_basis, m_nodes, tokens.m_rank, fresh);
+    const std::size_t rank = rendezvousRank(m_peers, tokens.m_organisation, m_options.m_node);
+    const double capacity = fallbackCapacity(tokens.m_basis, m_nodes, rank, fresh);
     const double rate = tokens.m_basis.m_rate / std::max(m_nodes, 1);
     if (!takeFallbackToken(tokens.m_ownBucket, now, link.m_mayDelegateAt, rate, capacity)) {
         return undecided();
@@ -81,7 +83,7 @@
                                                                      TimePoint now)
 {
     const auto found = m_tokens.find(pending.m_organisation);
-    if (found == m_tokens.end()) {
+    if (found == m_tokens.end() || !found->second.m_isLimited) {
         // The organisation has lost its limit.
         ++m_statistics.m_admitted;
         return QuotaDecision();
@@ -117,7 +119,7 @@
                                                   std::uint64_t request)
 {
     const auto found = m_tokens.find(stableHash(organisation));
-    if (found == m_tokens.end()) {
+    if (found == m_tokens.end() || !found->second.m_isLimited) {
         return {};
     }
     if (m_links.empty()) {
--- a/libs/quota/src/details/limiterstate.h
+++ b/libs/quota/src/details/limiterstate.h
@@ -98,7 +98,6 @@
     void rebuildLinks(TimePoint now);
     void setPeers(TimePoint now, std::span<const QuotaPeer> peers, int nodeCount);
     void updateCoordinators(TimePoint now);
-    void updateRank(HeldTokens &tokens);
 
     //! Forgets organisations. Their counters must not restart within a session, so the sessions of
     //! their partitions end.
--- a/libs/quota/src/details/node.h
+++ b/libs/quota/src/details/node.h
@@ -32,6 +32,9 @@
     std::uint64_t m_hash = 0;
     QuotaBasis m_basis;
     std::uint32_t m_partition = 0;
+    //! False once the organisation has lost its limit. Its counters are kept, as they must not
+    //! restart within the session.
+    bool m_isLimited = true;
 
     std::uint64_t m_granted = 0;
     std::uint64_t m_consumed = 0;
@@ -58,7 +61,6 @@
     std::int64_t m_refusedReport = 0;     //!< Report that was answered with a refusal.
 
     TokenBucket m_ownBucket;
-    std::size_t m_rank = 0; //!< Of this node in the rendezvous order of the organisation.
 };
 
 struct PendingRequest
@@ -114,6 +116,9 @@
 //! Shortest time between reports of usage.
 inline constexpr Duration usageInterval = std::chrono::milliseconds(100);
 
+//! A report is repeated after this time while requests wait for its reply, as it may be lost.
+inline constexpr Duration pendingInterval = std::chrono::milliseconds(15);
+
 //! Shortest time between reports for missing tokens, which bounds their number under load.
 inline constexpr Duration urgentInterval = std::chrono::milliseconds(5);
 
--- a/libs/quota/src/links.cpp
+++ b/libs/quota/src/links.cpp
@@ -75,9 +75,11 @@
         // All are silent: start over with the first one.
         link.m_silent.clear();
         node = link.m_order.front();
+        link.m_waitingSince = now;
     }
+    // Changes of the registrations must not extend the time in which a silent coordinator is
+    // noticed.
     if (node == link.m_coordinator) {
-        link.m_waitingSince = now;
         return;
     }
     carryTokens(link);
--- a/libs/quota/src/node.cpp
+++ b/libs/quota/src/node.cpp
@@ -277,7 +277,10 @@
     fillReport(link, report, now);
     markAsked(link, report);
     link.m_lastEcho = link.m_coordinatorTime;
-    link.m_reportNow = false;
+    // Requests that did not fit are asked for with the next report.
+    link.m_reportNow =
+        std::any_of(link.m_pending.begin(), link.m_pending.end(),
+                    [](const PendingRequest &pending) { return pending.m_askedBy == 0; });
     link.m_usageChanged = false;
     if (!link.m_awaitsReply) {
         link.m_awaitsReply = true;
@@ -333,6 +336,9 @@
     if (link.m_reportNow) {
         return link.m_lastSentAt + urgentInterval;
     }
+    if (link.m_awaitsReply && !link.m_pending.empty()) {
+        return link.m_lastSentAt + pendingInterval;
+    }
     TimePoint due = link.m_lastSentAt + reportInterval;
     if (link.m_usageChanged || link.m_awaitsReply) {
         // An unanswered report is repeated, as it or its reply may be lost.
--- a/libs/quota/tests/limitertest.cpp
+++ b/libs/quota/tests/limitertest.cpp
@@ -324,6 +324,31 @@
     EXPECT_EQ(m_limiter.statistics().m_admittedAlone, 0U);
 }
 
+// Guards against a dead coordinator that is kept for as long as registrations change.
+TEST_F(QuotaNode, ChangesOfRegistrationsDoNotHideASilentCoordinator)
+{
+    const std::vector<QuotaPeer> peers{{"node0", 1e9}, {"node1", 1e-6}, {"node2", 1.0}};
+    reply(5, 0);
+    for (int step = 0; step < 20; ++step) {
+        m_now += std::chrono::milliseconds(50);
+        m_limiter.setPeers(m_now, peers, 3);
+        m_limiter.advance(m_now);
+    }
+    EXPECT_EQ(m_output.m_reportedTo, "node2");
+}
+
+// Guards against an organisation that loses its limit and takes the tokens of others with it.
+TEST_F(QuotaNode, RemovingAnOrganisationKeepsTheTokensOfOthers)
+{
+    const std::vector<OrganisationLimit> both{{"large", {500.0, 1000.0}}, {"other", {5.0, 5.0}}};
+    m_limiter.setLimits(m_now, both);
+    createDemand();
+    reply(5, 25);
+    m_limiter.setLimits(m_now, std::span(both).first(1));
+    EXPECT_EQ(admit(), QuotaVerdict::Admitted);
+    EXPECT_EQ(m_limiter.admit(m_now, "other", ++m_request).m_verdict, QuotaVerdict::Admitted);
+}
+
 // Guards against refused callers that all come back at the same time and are refused once more.
 TEST_F(QuotaNode, RefusedRequestsAreToldToComeBackOneAfterTheOther)
 {
