--- a/libs/quota/src/details/limiterstate.h
+++ b/libs/quota/src/details/limiterstate.h
@@ -51,7 +51,7 @@
 
     QuotaDecision admittedBy(const CoordinatorLink &link);
     QuotaDecision undecided();
-    QuotaDecision refused(const CoordinatorLink &link, const HeldTokens &tokens, TimePoint now);
+    QuotaDecision refused(const CoordinatorLink &link, HeldTokens &tokens, TimePoint now);
 
     //! Decides without the coordinator.
     QuotaDecision decideAlone(CoordinatorLink &link, HeldTokens &tokens, TimePoint now);
@@ -98,7 +98,6 @@
     void rebuildLinks(TimePoint now);
     void setPeers(TimePoint now, std::span<const QuotaPeer> peers, int nodeCount);
     void updateCoordinators(TimePoint now);
-    void updateRank(HeldTokens &tokens);
 
     //! Forgets organisations. Their counters must not restart within a session, so the sessions of
     //! their partitions end.
--- a/libs/quota/src/details/node.h
+++ b/libs/quota/src/details/node.h
@@ -11,6 +11,19 @@
 //! @brief State of a node towards the coordinators: tokens held, demand, reports and delegation.
 namespace arbutusgrade {
 
+//! @brief Refused requests whose callers have been told when to come back.
+struct RetryBacklog
+{
+    double m_requests = 0.0; //!< Still to come back.
+    TimePoint m_updatedAt;
+};
+
+//! @brief Gives each refused request a later place in the rate, so that callers who come back are
+//! not refused together once more.
+//! @param rate of the requests that are admitted, per second; above 0.
+//! @return the time until its place.
+Duration scheduleRetry(RetryBacklog &backlog, TimePoint now, double rate) noexcept;
+
 //! @brief Tokens and demand of one organisation at this node. The counters are cumulative since the
 //! start of the session with the coordinator and never restart within it.
 struct HeldTokens
@@ -19,6 +32,9 @@
     std::uint64_t m_hash = 0;
     QuotaBasis m_basis;
     std::uint32_t m_partition = 0;
+    //! False once the organisation has lost its limit. Its counters are kept, as they must not
+    //! restart within the session.
+    bool m_isLimited = true;
 
     std::uint64_t m_granted = 0;
     std::uint64_t m_consumed = 0;
@@ -30,6 +46,9 @@
     TimePoint m_demandAt;
     TimePoint m_lastSeen;
     std::uint32_t m_pending = 0; //!< Requests that wait for a token.
+    double m_taken = 0.0;        //!< Tokens taken in about the last takenHorizon.
+    TimePoint m_takenAt;
+    RetryBacklog m_retryBacklog;
 
     bool m_active = false;           //!< In CoordinatorLink::m_active.
     bool m_unacknowledged = false;   //!< Counters have changed since the last answered report.
@@ -42,7 +61,6 @@
     std::int64_t m_refusedReport = 0;     //!< Report that was answered with a refusal.
 
     TokenBucket m_ownBucket;
-    std::size_t m_rank = 0; //!< Of this node in the rendezvous order of the organisation.
 };
 
 struct PendingRequest
@@ -98,6 +116,9 @@
 //! Shortest time between reports of usage.
 inline constexpr Duration usageInterval = std::chrono::milliseconds(100);
 
+//! A report is repeated after this time while requests wait for its reply, as it may be lost.
+inline constexpr Duration pendingInterval = std::chrono::milliseconds(15);
+
 //! Shortest time between reports for missing tokens, which bounds their number under load.
 inline constexpr Duration urgentInterval = std::chrono::milliseconds(5);
 
@@ -110,6 +131,9 @@
 //! @brief Unused tokens of the current coordinator, without regard to their expiry.
 std::uint64_t unusedTokens(const HeldTokens &tokens) noexcept;
 
+//! @brief Rate at which tokens have been taken at this node, per second.
+double takenRate(const HeldTokens &tokens, TimePoint now) noexcept;
+
 //! @brief Takes a valid token.
 bool takeToken(CoordinatorLink &link, HeldTokens &tokens, TimePoint now) noexcept;
 
