Compute weighted rendezvous scores in one place

The quotas and the relays each had their own formula. That of the quotas rounded the largest hashes to 1, whose logarithm is 0, and so gave them the worst score. Both use weightedRendezvousScore() of libs/base now.

--- a/libs/base/include/base/base.h
+++ b/libs/base/include/base/base.h
@@ -76,6 +76,12 @@
 //! @brief Weight of a candidate for a key in rendezvous hashing; the highest weight wins.
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate) noexcept;
 
+//! @brief Score of a candidate for a key in weighted rendezvous hashing; the highest score wins, so
+//! that candidates win in proportion to their weights.
+//! @param weight above 0 and finite.
+double weightedRendezvousScore(std::string_view key, std::string_view candidate,
+                               double weight) noexcept;
+
 //! @brief One problem found in an input, with its place. Lines and columns count from 1; 0 if
 //! unknown.
 struct Finding
--- a/libs/base/src/random.cpp
+++ b/libs/base/src/random.cpp
@@ -1,5 +1,9 @@
 #include "base/base.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
 #include <xxhash.h>
 
 namespace arbutusgrade {
@@ -37,4 +41,15 @@
     return XXH3_64bits_withSeed(candidate.data(), candidate.size(), stableHash(key));
 }
 
+double weightedRendezvousScore(std::string_view key, std::string_view candidate,
+                               double weight) noexcept
+{
+    constexpr int hashBits = std::numeric_limits<std::uint64_t>::digits;
+    // The largest hashes would be rounded to 1, whose logarithm is 0.
+    constexpr double largestBelowOne = 1.0 - std::numeric_limits<double>::epsilon() / 2.0;
+    const double hash = static_cast<double>(rendezvousWeight(key, candidate));
+    const double unit = std::min(std::ldexp(hash + 0.5, -hashBits), largestBelowOne);
+    return -weight / std::log(unit);
+}
+
 } // namespace arbutusgrade
--- a/libs/base/tests/basetest.cpp
+++ b/libs/base/tests/basetest.cpp
@@ -41,6 +41,18 @@
     EXPECT_EQ(nextRandomBelow(first, 0), 0U);
 }
 
+// Guards against a candidate that wins more or less often than its weight allows.
+TEST(WeightedRendezvous, CandidatesWinInProportionToTheirWeights)
+{
+    int heavy = 0;
+    for (int key = 0; key < 2000; ++key) {
+        const std::string text = std::to_string(key);
+        const double light = weightedRendezvousScore(text, "a", 1.0);
+        heavy += weightedRendezvousScore(text, "b", 3.0) > light ? 1 : 0;
+    }
+    EXPECT_NEAR(heavy, 1500, 100);
+}
+
 // Guards against a violation that is neither counted nor reported.
 TEST(Invariants, ViolationIsCountedAndObserved)
 {
--- a/libs/gatewaynode/src/relaychoice.cpp
+++ b/libs/gatewaynode/src/relaychoice.cpp
@@ -1,8 +1,6 @@
 #include "details/relaychoice.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace arbutusgrade {
 
@@ -10,13 +8,9 @@
 
 constexpr int relayPauseDivisor = 8;
 
-//! @brief Score of a node in weighted rendezvous hashing: a node wins in proportion to its weight.
 double relayScore(const RegisteredNode &node)
 {
-    constexpr double range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    const std::uint64_t hash = rendezvousWeight("relay/" + node.m_dataCentre, node.m_name);
-    const double unit = (static_cast<double>(hash) + 0.5) / (range + 1.0);
-    return node.m_link.m_weight / -std::log(std::min(unit, std::nextafter(1.0, 0.0)));
+    return weightedRendezvousScore("relay/" + node.m_dataCentre, node.m_name, node.m_link.m_weight);
 }
 
 bool hasHigherScore(const RegisteredNode &left, const RegisteredNode &right)
--- a/libs/quota/src/selection.cpp
+++ b/libs/quota/src/selection.cpp
@@ -9,7 +9,8 @@
 
 constexpr int nodesPerPartition = 128;
 
-//! Trying a silent candidate takes 500 ms, so more would not be reached in a usual outage.
+//! Trying a silent candidate takes 300 ms (firstReplyLimit), so more would not be reached in a
+//! usual outage.
 constexpr std::size_t maxCandidates = 16;
 
 //! Weights at or below 0 or not finite count as this one.
@@ -26,14 +27,9 @@
     return a.m_score != b.m_score ? a.m_score > b.m_score : a.m_peer->m_node < b.m_peer->m_node;
 }
 
-double weightedScore(std::string_view key, const QuotaPeer &peer) noexcept
+double usableWeight(double weight) noexcept
 {
-    constexpr double scale = 1.0 / static_cast<double>(1ULL << 53U);
-    const std::uint64_t hash = rendezvousWeight(key, peer.m_node);
-    // The half keeps the number away from 0 and 1.
-    const double unit = (static_cast<double>(hash >> 11U) + 0.5) * scale;
-    const bool usable = std::isfinite(peer.m_weight) && peer.m_weight > smallestWeight;
-    return -(usable ? peer.m_weight : smallestWeight) / std::log(unit);
+    return std::isfinite(weight) && weight > smallestWeight ? weight : smallestWeight;
 }
 
 } // namespace
@@ -50,7 +46,8 @@
     std::vector<ScoredPeer> scored;
     scored.reserve(peers.size());
     for (const QuotaPeer &peer : peers) {
-        scored.push_back({weightedScore(key, peer), &peer});
+        const double weight = usableWeight(peer.m_weight);
+        scored.push_back({weightedRendezvousScore(key, peer.m_node, weight), &peer});
     }
     const std::size_t count = std::min(scored.size(), maxCandidates);
     std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
