Share small functions of the quotas and describe their parts

The bound on counters, the sum of a share and the entry into the list of active organisations stood twice; each has one place now. The structs have doc comments. The lifetime of tokens is stated as 1,000 ms, as in the code. Tests without a description say what they guard against.

--- a/libs/quota/benchmarks/quotabenchmark.cpp
+++ b/libs/quota/benchmarks/quotabenchmark.cpp
@@ -85,7 +85,7 @@
 void handleReport(benchmark::State &state)
 {
     constexpr int nodes = 300;
-    // Names the coordinator's partition in reports of a number of nodes that has three partitions.
+    // 300 nodes have three partitions; the reports are for partition 0.
     BenchmarkNode node("node0", "node0", nodes);
     std::vector<QuotaReport> reports(nodes);
     for (int peer = 1; peer < nodes; ++peer) {
--- a/libs/quota/include/quota/quota.h
+++ b/libs/quota/include/quota/quota.h
@@ -90,7 +90,7 @@
     std::int64_t m_coordinatorTime = 0;     //!< On the coordinator's clock, in microseconds.
     std::uint32_t m_partition = 0;
     std::uint32_t m_partitions = 1;
-    //! All tokens held are valid until 1,500 ms after m_reportSentAt; otherwise no longer than
+    //! All tokens held are valid until 1,000 ms after m_reportSentAt; otherwise no longer than
     //! before.
     bool m_renews = true;
     std::vector<QuotaGrant> m_grants;
--- a/libs/quota/src/bucket.cpp
+++ b/libs/quota/src/bucket.cpp
@@ -55,6 +55,11 @@
     return share;
 }
 
+double totalShare(const QuotaShare &share) noexcept
+{
+    return share.m_mature + share.m_fresh;
+}
+
 double quotaCapacity(const QuotaBasis &basis, const QuotaShare &share) noexcept
 {
     return share.m_mature * (basis.m_burst + basis.m_reserve) + share.m_fresh * basis.m_reserve;
@@ -62,7 +67,7 @@
 
 double quotaRate(const QuotaBasis &basis, const QuotaShare &share) noexcept
 {
-    return (share.m_mature + share.m_fresh) * basis.m_rate;
+    return totalShare(share) * basis.m_rate;
 }
 
 void accrueTokens(TokenBucket &bucket, TimePoint now, double rate, double limit) noexcept
--- a/libs/quota/src/configuration.cpp
+++ b/libs/quota/src/configuration.cpp
@@ -101,7 +101,7 @@
         for (std::pair<const std::string, DelegatingNode> &node : entry.second.m_nodes) {
             node.second.m_known = m_peerNames.contains(node.first);
         }
-        // The next call looks for nodes that have left.
+        // Has the next call remove nodes that have left.
         entry.second.m_nextChange = std::min(entry.second.m_nextChange, now);
     }
 }
@@ -171,8 +171,7 @@
     m_statistics.m_delegatedShare = 0.0;
     for (const std::pair<const PartitionKey, PartitionCoordinator> &entry : m_coordinators) {
         m_statistics.m_granted += entry.second.m_granted;
-        m_statistics.m_delegatedShare +=
-            entry.second.m_share.m_mature + entry.second.m_share.m_fresh;
+        m_statistics.m_delegatedShare += totalShare(entry.second.m_share);
     }
 }
 
--- a/libs/quota/src/coordinator.cpp
+++ b/libs/quota/src/coordinator.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-//! Greater counters are taken for corrupt: a node would have to use 10^6 tokens/s for 30,000 years.
-constexpr std::uint64_t greatestCounter = std::uint64_t{1} << 60U;
-
 //! Bounds the work for one report and keeps sums of wanted tokens small.
 constexpr std::uint64_t greatestWanted = 1'000'000;
 
@@ -33,6 +30,7 @@
     return account.m_granted - account.m_consumed - account.m_returned;
 }
 
+//! Tokens of the organisation that may be held or outstanding at this coordinator.
 double capacityOf(const PartitionCoordinator &coordinator, const OrganisationBucket &entry)
 {
     return quotaCapacity(entry.m_basis, coordinator.m_share);
@@ -60,6 +58,7 @@
     }
 }
 
+//! Sums the delegated shares; those delegated for less than a lease count as fresh.
 void setShare(PartitionCoordinator &coordinator, TimePoint now)
 {
     double mature = 0.0;
@@ -70,6 +69,7 @@
     coordinator.m_share = cappedShare(mature, fresh);
 }
 
+//! Has expireDelegations() look for expired delegations and tokens at this time.
 void scheduleChange(PartitionCoordinator &coordinator, TimePoint at)
 {
     coordinator.m_nextChange = std::min(coordinator.m_nextChange, at);
@@ -88,6 +88,7 @@
     }
 }
 
+//! Counts the outstanding tokens of a node as unused: it can no longer use them.
 void dropTokens(PartitionCoordinator &coordinator, DelegatingNode &node)
 {
     for (std::pair<const std::uint64_t, TokenAccount> &entry : node.m_accounts) {
@@ -162,6 +163,7 @@
     entry.m_outstanding += outstandingTokens(account);
 }
 
+//! Milliseconds until the bucket holds another whole token.
 std::uint32_t retryAfter(double level, double rate)
 {
     if (rate <= 0) {
@@ -230,14 +232,14 @@
     const std::uint64_t urgent = std::min<std::uint64_t>(missing, use.m_pending);
     grant.m_exhausted = granted < urgent || (granted < missing && entry.m_bucket.m_level < 1.0);
     grant.m_recalled = coordinator.m_overdrawn.contains(use.m_organisation);
-    const double share = coordinator.m_share.m_mature + coordinator.m_share.m_fresh;
-    if (grant.m_exhausted && share >= decisiveShare) {
+    if (grant.m_exhausted && totalShare(coordinator.m_share) >= decisiveShare) {
         grant.m_retryAfterMilliseconds =
             retryAfter(entry.m_bucket.m_level, quotaRate(entry.m_basis, coordinator.m_share));
     }
 }
 
-//! A reply renews all tokens of the node, so it must name those that may not be renewed.
+//! Adds organisations whose tokens must be returned to the reply, since a reply renews all tokens
+//! of the node that it does not recall.
 void recallTokens(PartitionCoordinator &coordinator, const DelegatingNode &node, QuotaReply &reply)
 {
     for (const std::uint64_t organisation : coordinator.m_overdrawn) {
--- a/libs/quota/src/details/bucket.h
+++ b/libs/quota/src/details/bucket.h
@@ -22,6 +22,7 @@
     double m_fresh = 0.0;
 };
 
+//! @brief Tokens available at a time.
 struct TokenBucket
 {
     double m_level = 0.0;
@@ -35,10 +36,16 @@
 //! @brief True if the limit restricts the organisation at all.
 bool isLimited(const QuotaLimit &limit) noexcept;
 
+//! @brief Fraction of the whole quota, of whatever age.
+double totalShare(const QuotaShare &share) noexcept;
+
 //! @brief Limits the sum of both parts to 1, mature shares first.
 QuotaShare cappedShare(double mature, double fresh) noexcept;
 
+//! @brief Tokens that the bucket of a part of the quota holds at most.
 double quotaCapacity(const QuotaBasis &basis, const QuotaShare &share) noexcept;
+
+//! @brief Tokens per second that a part of the quota accrues.
 double quotaRate(const QuotaBasis &basis, const QuotaShare &share) noexcept;
 
 //! @brief Adds the tokens accrued since the last update. The level is at most `limit`.
--- a/libs/quota/src/details/coordinator.h
+++ b/libs/quota/src/details/coordinator.h
@@ -17,6 +17,9 @@
 //! Uses in a report and grants in a reply; a use takes up to 40 bytes, a message at most 1,200.
 inline constexpr std::size_t maxQuotaUses = 24;
 
+//! Greater counters are invalid: at 10^6 tokens/s they would take more than 30,000 years.
+inline constexpr std::uint64_t greatestCounter = std::uint64_t{1} << 60U;
+
 //! @brief Tokens of one organisation at one node, cumulative since the start of the node's session.
 struct TokenAccount
 {
@@ -26,6 +29,7 @@
     bool m_dropped = false; //!< The node was silent until its tokens had expired.
 };
 
+//! @brief What the coordinator knows of a node that reports to it.
 struct DelegatingNode
 {
     std::uint64_t m_session = 0;
@@ -33,13 +37,14 @@
     std::int64_t m_lastSentAt = 0;       //!< On the node's clock, in microseconds.
     bool m_known = true;                 //!< Still among the peers.
     double m_share = 0.0;
-    TimePoint m_leaseUntil;
-    TimePoint m_freshUntil;
-    TimePoint m_lastReplyAt;
+    TimePoint m_leaseUntil;     //!< End of the delegation.
+    TimePoint m_freshUntil;     //!< Until then the share counts as QuotaShare::m_fresh.
+    TimePoint m_lastReplyAt;    //!< Last reply of the coordinator to the node.
     bool m_holdsTokens = false; //!< Accounts may have outstanding tokens.
     std::unordered_map<std::uint64_t, TokenAccount> m_accounts;
 };
 
+//! @brief Tokens of one organisation at the coordinator.
 struct OrganisationBucket
 {
     QuotaBasis m_basis;
@@ -47,6 +52,7 @@
     std::uint64_t m_outstanding = 0; //!< Granted and neither consumed nor returned, all nodes.
 };
 
+//! @brief State of the coordinator of one partition of the organisations.
 struct PartitionCoordinator
 {
     std::uint32_t m_partition = 0;
--- a/libs/quota/src/details/limiterstate.h
+++ b/libs/quota/src/details/limiterstate.h
@@ -10,7 +10,7 @@
 #include "details/coordinator.h"
 #include "details/node.h"
 
-//! @brief State of a limiter, which connects its parts with the output.
+//! @brief State of a limiter: the links to coordinators, and the coordinators that it runs itself.
 namespace arbutusgrade {
 
 //! A node that has not replied since it was chosen as coordinator counts as silent after this long.
@@ -19,6 +19,7 @@
 //! @brief Number of partitions, then the partition.
 using PartitionKey = std::pair<std::uint32_t, std::uint32_t>;
 
+//! @brief State and steps of a limiter, by source file.
 struct QuotaLimiter::Implementation
 {
     QuotaOptions m_options;
@@ -86,7 +87,7 @@
     void run(CoordinatorLink &link, TimePoint now);
     void run(TimePoint now);
 
-    //! Drops what has expired; comes first in each call.
+    //! Returns expired tokens; called first in each call of the limiter.
     void begin(TimePoint now);
 
     // configuration.cpp
--- a/libs/quota/src/details/node.h
+++ b/libs/quota/src/details/node.h
@@ -23,8 +23,8 @@
     std::uint64_t m_granted = 0;
     std::uint64_t m_consumed = 0;
     std::uint64_t m_returned = 0;
-    std::uint64_t m_carried =
-        0; //!< Of the previous coordinator, until CoordinatorLink::m_carriedUntil.
+    //! Tokens of the previous coordinator; usable until CoordinatorLink::m_carriedUntil.
+    std::uint64_t m_carried = 0;
 
     double m_demand = 0.0; //!< Requests expected in the next demandHorizon.
     TimePoint m_demandAt;
@@ -45,6 +45,7 @@
     std::size_t m_rank = 0; //!< Of this node in the rendezvous order of the organisation.
 };
 
+//! @brief A request that waits for a token.
 struct PendingRequest
 {
     std::uint64_t m_request = 0;
@@ -58,7 +59,7 @@
 {
     std::uint32_t m_partition = 0;
     std::vector<std::string> m_order; //!< Peers in descending order of preference.
-    std::map<std::string, TimePoint, std::less<>> m_silent; //!< Passed over, with the time of it.
+    std::map<std::string, TimePoint, std::less<>> m_silent; //!< Since when, by node.
 
     std::string m_coordinator; //!< Empty if there is none.
     std::uint64_t m_session = 0;
@@ -78,8 +79,8 @@
     bool m_delegated = false; //!< The share was delegated to the current coordinator.
     TimePoint m_lastDelegatedAt;
     TimePoint m_timeReceivedAt; //!< When m_coordinatorTime was received.
-    TimePoint
-        m_mayDelegateAt; //!< Until then the share may still count at the previous coordinator.
+    //! Until then the share may still count at the previous coordinator.
+    TimePoint m_mayDelegateAt;
 
     std::uint64_t m_probeSession = 0; //!< Of the last report to a silent node.
     TimePoint m_nextProbeAt;
@@ -101,7 +102,7 @@
 //! Shortest time between reports for missing tokens, which bounds their number under load.
 inline constexpr Duration urgentInterval = std::chrono::milliseconds(5);
 
-//! Counts a request in the estimate of the demand.
+//! @brief Counts a request in the estimate of the demand.
 void recordDemand(HeldTokens &tokens, TimePoint now) noexcept;
 
 //! @brief Tokens that the node should hold ahead of demand.
@@ -113,9 +114,12 @@
 //! @brief Takes a valid token.
 bool takeToken(CoordinatorLink &link, HeldTokens &tokens, TimePoint now) noexcept;
 
-//! @brief Gives the token of a request that was not run back.
+//! @brief Returns the token of a request that was not run to those that are unused.
 void restoreToken(CoordinatorLink &link, HeldTokens &tokens) noexcept;
 
+//! @brief Includes the organisation among those that reports may contain.
+void activate(CoordinatorLink &link, HeldTokens &tokens);
+
 //! @brief Marks the counters as changed, so that reports contain them until one is answered.
 void markChanged(CoordinatorLink &link, HeldTokens &tokens);
 
--- a/libs/quota/src/links.cpp
+++ b/libs/quota/src/links.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-//! A coordinator without a reply for this long is passed over.
+//! A coordinator that has not replied for this long is replaced by the next node in the order.
 constexpr Duration silenceLimit = std::chrono::milliseconds(600);
 
-//! Time between reports that ask whether a node that was passed over replies again. The first one
+//! Time between reports that ask whether a silent node replies again. The first one
 //! is sent after the tokens of that node have been used or have expired.
 constexpr Duration probeInterval = std::chrono::milliseconds(1000);
 
--- a/libs/quota/src/node.cpp
+++ b/libs/quota/src/node.cpp
@@ -23,9 +23,6 @@
 //! coordinator had fewer tokens than wanted.
 constexpr Duration scarcityKept = std::chrono::seconds(1);
 
-//! Greater counters are taken for corrupt.
-constexpr std::uint64_t greatestCounter = std::uint64_t{1} << 60U;
-
 double decayedDemand(const HeldTokens &tokens, TimePoint now) noexcept
 {
     const std::chrono::duration<double> elapsed = now - tokens.m_demandAt;
@@ -33,6 +30,7 @@
     return tokens.m_demand * std::exp(-std::max(elapsed / horizon, 0.0));
 }
 
+//! True if the node asks for tokens ahead of demand.
 bool asksAhead(const HeldTokens &tokens, TimePoint now) noexcept
 {
     return now >= tokens.m_askAfter && unusedTokens(tokens) < targetTokens(tokens, now);
@@ -47,7 +45,7 @@
 {
     const std::uint64_t unused = unusedTokens(tokens);
     const std::uint64_t target = targetTokens(tokens, now);
-    // Twice the target is tolerated so that a varying demand causes no to and fro.
+    // Twice the target is tolerated so that varying demand does not move tokens back and forth.
     if (tokens.m_pending == 0 && unused > 2 * target) {
         tokens.m_returned += unused - target;
         markChanged(link, tokens);
@@ -69,7 +67,7 @@
         tokens.m_changeSentAt = report.m_sentAt;
     }
     if (use.m_wanted > unusedTokens(tokens)) {
-        // Counts as a change, so that a grant whose reply is lost is learned of later.
+        // Reports contain it until one is answered, since the reply with a grant may be lost.
         tokens.m_unacknowledged = true;
         tokens.m_changeSentAt = report.m_sentAt;
     }
@@ -85,6 +83,7 @@
     });
 }
 
+//! Adds organisations with waiting requests first, then the others in rotation.
 void fillReport(CoordinatorLink &link, QuotaReport &report, TimePoint now)
 {
     const std::size_t count = link.m_active.size();
@@ -103,6 +102,7 @@
     }
 }
 
+//! Records for waiting requests that this report asks for their tokens.
 void markAsked(CoordinatorLink &link, const QuotaReport &report)
 {
     for (PendingRequest &pending : link.m_pending) {
@@ -124,10 +124,7 @@
     }
     if (grant.m_granted > tokens.m_granted) {
         tokens.m_granted = grant.m_granted;
-        if (!tokens.m_active) {
-            tokens.m_active = true;
-            link.m_active.push_back(&tokens);
-        }
+        activate(link, tokens);
     }
     if (grant.m_recalled && unusedTokens(tokens) > 0) {
         tokens.m_returned += unusedTokens(tokens);
@@ -198,16 +195,21 @@
     }
 }
 
-void markChanged(CoordinatorLink &link, HeldTokens &tokens)
+void activate(CoordinatorLink &link, HeldTokens &tokens)
 {
-    tokens.m_unacknowledged = true;
-    tokens.m_changeSentAt = 0;
     if (!tokens.m_active) {
         tokens.m_active = true;
         link.m_active.push_back(&tokens);
     }
 }
 
+void markChanged(CoordinatorLink &link, HeldTokens &tokens)
+{
+    tokens.m_unacknowledged = true;
+    tokens.m_changeSentAt = 0;
+    activate(link, tokens);
+}
+
 void returnExpiredTokens(CoordinatorLink &link, TimePoint now)
 {
     if (now < link.m_validUntil) {
--- a/libs/quota/tests/failuretest.cpp
+++ b/libs/quota/tests/failuretest.cpp
@@ -112,6 +112,7 @@
     }
 }
 
+//! Changes the harness at the given moment.
 using Fault = std::function<void(Harness &, TimePoint)>;
 
 //! Injects the fault at a drawn moment in a run for each seed and checks the bound.
@@ -138,14 +139,15 @@
                 fullest);
 }
 
+//! Admissions of the nodes and of a single bucket.
 struct Efficiency
 {
     double m_admitted = 0.0;
     double m_ideal = 0.0;
 };
 
-//! Checks that calm runs admit 0.95 of what a single bucket would; for each seed where the numbers
-//! are great enough, and over all seeds for each organisation.
+//! Checks that runs without failures admit 0.95 of what a single bucket would; for each seed where
+//! the numbers are great enough, and over all seeds for each organisation.
 void expectEfficient(std::map<std::string, Efficiency> &sums, Harness &harness, std::uint64_t seed)
 {
     for (const std::pair<const std::string, Counts> &counts : harness.m_counts) {
@@ -168,6 +170,7 @@
     }
 }
 
+//! Runs each seed without failures and checks bound and efficiency.
 void runCalm(const RunShape &shape)
 {
     std::map<std::string, Efficiency> sums;
@@ -204,7 +207,7 @@
     runCalm({});
 }
 
-// The same with several partitions.
+// Guards against tokens idle at nodes without demand where there are several partitions.
 TEST(QuotaManyNodes, UnevenDemandGetsItsAllowance)
 {
     runCalm(many);
@@ -235,6 +238,7 @@
     runSeeds([](Harness &harness, TimePoint) { harness.m_faults.m_loss = 0.3; });
 }
 
+// Guards against tokens and delegations that a late message revives.
 TEST(QuotaFailure, MessagesDelayed)
 {
     runSeeds([](Harness &harness, TimePoint) {
@@ -242,6 +246,7 @@
     });
 }
 
+// Guards against tokens that are granted or returned again for a second copy of a message.
 TEST(QuotaFailure, MessagesDuplicated)
 {
     runSeeds([](Harness &harness, TimePoint) {
@@ -295,6 +300,7 @@
     runSeeds(partitionNetwork);
 }
 
+// Guards against coordinators of several partitions that grant more than the quota on two sides.
 TEST(QuotaManyNodes, NetworkPartition)
 {
     runSeeds(partitionNetwork, many);
@@ -311,7 +317,7 @@
     });
 }
 
-// Guards against the same, and against nodes that stay without a coordinator.
+// Guards against a full bucket at the next coordinator, and against nodes that stay without one.
 TEST(QuotaFailure, CoordinatorKilled)
 {
     std::size_t late = 0;
--- a/libs/quota/tests/harness.h
+++ b/libs/quota/tests/harness.h
@@ -28,6 +28,7 @@
     TimePoint m_until = farFuture;
 };
 
+//! @brief Requests of one organisation and their decisions.
 struct Counts
 {
     std::vector<TimePoint> m_offered;
@@ -39,6 +40,7 @@
 
 class Harness;
 
+//! @brief A node with its limiter; its messages go to the harness.
 struct SimulatedNode : QuotaOutput
 {
     void sendReport(std::string_view node, const QuotaReport &report) override;
@@ -57,6 +59,7 @@
     int m_side = 0; //!< Messages between nodes of different sides are lost.
 };
 
+//! @brief Simulated network, clock and demand, driven by a queue of events.
 class Harness
 {
 public:
--- a/libs/quota/tests/limitertest.cpp
+++ b/libs/quota/tests/limitertest.cpp
@@ -11,6 +11,7 @@
 constexpr TimePoint begin{std::chrono::seconds(100)};
 constexpr std::uint64_t huge = std::numeric_limits<std::uint64_t>::max();
 
+//! Keeps all messages and decisions.
 class RecordingOutput : public QuotaOutput
 {
 public:
@@ -95,7 +96,7 @@
 TEST_F(QuotaMessages, BucketStartsEmpty)
 {
     elapse(std::chrono::milliseconds(200));
-    EXPECT_EQ(ask(1000, Duration(1)) / 50, 0U);
+    EXPECT_LT(ask(1000, Duration(1)), 50U);
 }
 
 // Guards against grants from delegations that expired while the coordinator was paused.
@@ -183,7 +184,7 @@
     first.m_partitions = 0;
     m_limiter.receiveReport(m_now, "node1", first);
     EXPECT_TRUE(m_output.m_replies.empty());
-    m_limiter.receiveReply(m_now, "node1", {1, 1, huge > 0 ? -1 : 0, 5, 77, 1, true, {}});
+    m_limiter.receiveReply(m_now, "node1", {1, 1, -1, 5, 77, 1, true, {}});
     m_limiter.receiveReply(m_now, "stranger", {});
 }
 
@@ -201,7 +202,7 @@
     EXPECT_EQ(granted(), 1U);
 }
 
-//! A node whose coordinator node0 is played by the test; node2 is the next in the order.
+//! A node; the test sends the replies of its coordinator node0, and node2 is the next in the order.
 class QuotaNode : public testing::Test
 {
 public:
@@ -254,7 +255,7 @@
     EXPECT_NE(admit(), QuotaVerdict::Admitted);
 }
 
-// Guards against tokens that come back to life with a later reply, and against late replies.
+// Guards against expired tokens that a later reply makes valid, and against late replies.
 TEST_F(QuotaNode, ExpiredTokensStayExpired)
 {
     createDemand();
@@ -366,7 +367,7 @@
     }
 }
 
-// Guards against a reply that is larger or more often than the wire allows.
+// Guards against reports that are larger than a datagram, or that leave out organisations for good.
 TEST(QuotaRequests, ReportsNameAtMost24Organisations)
 {
     RecordingOutput output;
