Split the two longest functions of the forwarding engine

Their steps are functions of their own; the order of the effects is the same. The tests of evacuated, cold and full targets are named after capacity.

--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -99,7 +99,7 @@
 void ForwardEngine::Implementation::startSubrequest(TimePoint now, PendingRequest &pending,
                                                     std::size_t index)
 {
-    // Room that has come with time, as at a cold target, belongs to those that wait.
+    // Capacity may have become free with time, as at a cold target; queued requests come first.
     dispatchQueue(now, *pending.m_subrequests[index].m_service);
     if (sendAttempt(now, pending, index, AttemptReason::First) == SendResult::Sent) {
         return;
@@ -116,7 +116,7 @@
 {
     const QueuedSubrequest entry{pending.m_id, index, priorityOf(pending),
                                  pending.m_request->m_organisation};
-    if (outlastsQueue(now, pending, index, entry)) {
+    if (exceedsQueueTime(now, pending, index, entry)) {
         failSubrequest(now, pending, index, "queue-too-long");
         return;
     }
@@ -125,11 +125,11 @@
     }
 }
 
-bool ForwardEngine::Implementation::outlastsQueue(TimePoint now, const PendingRequest &pending,
-                                                  std::size_t index,
-                                                  const QueuedSubrequest &entry) const
+bool ForwardEngine::Implementation::exceedsQueueTime(TimePoint now, const PendingRequest &pending,
+                                                     std::size_t index,
+                                                     const QueuedSubrequest &entry) const
 {
-    // Only where the configuration has organisations. A search may be answered without the part.
+    // Applies only to requests of organisations. A search may be answered without this part.
     if (entry.m_organisation.empty() || !pending.m_route->m_shards.empty()) {
         return false;
     }
@@ -164,15 +164,10 @@
     }
 }
 
-SendResult ForwardEngine::Implementation::sendAttempt(TimePoint now, PendingRequest &pending,
-                                                      std::size_t index, AttemptReason reason)
+TargetCriteria ForwardEngine::Implementation::targetCriteria(const PendingRequest &pending,
+                                                             const Subrequest &subrequest,
+                                                             AttemptReason reason) const
 {
-    Subrequest &subrequest = pending.m_subrequests[index];
-    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator targets =
-        m_registry.m_targetsByService.find(subrequest.m_service->m_name);
-    if (targets == m_registry.m_targetsByService.end()) {
-        return SendResult::NoTarget;
-    }
     TargetCriteria criteria;
     criteria.m_dataCentre = m_options.m_dataCentre;
     criteria.m_excludedIds =
@@ -181,22 +176,26 @@
     criteria.m_requestInterval = subrequest.m_service->m_requestInterval;
     criteria.m_healthyOnly = reason == AttemptReason::Hedge;
     criteria.m_warmup = warmupCriteria(pending, *subrequest.m_service);
-    const TargetPointer target = selectTarget(targets->second, now, criteria);
-    if (!target) {
-        return SendResult::NoTarget;
-    }
-    if (subrequest.m_possibleDeliveries > 0) {
-        if (!allowsExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
-                                m_startedAt, priorityOf(pending))) {
-            ++m_statistics.m_budgetDenied;
-            return SendResult::NoBudget;
-        }
-        recordExtraAttempt(subrequest.m_service->m_budget, m_options.m_budget, now,
-                           priorityOf(pending));
-    }
-    if (criteria.m_warmup) {
-        recordColdRequest(*target, now, criteria.m_warmup->m_limit);
+    return criteria;
+}
+
+bool ForwardEngine::Implementation::takeFromBudget(TimePoint now, const PendingRequest &pending,
+                                                   ServiceState &service)
+{
+    const int priority = priorityOf(pending);
+    if (!allowsExtraAttempt(service.m_budget, m_options.m_budget, now, m_startedAt, priority)) {
+        ++m_statistics.m_budgetDenied;
+        return false;
     }
+    recordExtraAttempt(service.m_budget, m_options.m_budget, now, priority);
+    return true;
+}
+
+std::uint64_t ForwardEngine::Implementation::registerAttempt(TimePoint now, PendingRequest &pending,
+                                                             std::size_t index,
+                                                             const TargetPointer &target)
+{
+    Subrequest &subrequest = pending.m_subrequests[index];
     const std::uint64_t id = ++m_lastId;
     target->m_inFlight.push_back(
         OutstandingAttempt{id, now + pending.m_routeLatency->m_hedgeDelay});
@@ -208,7 +207,6 @@
     attempt.m_routeLatency = pending.m_routeLatency;
     attempt.m_sentAt = now;
     attempt.m_request = pending.m_request;
-    const bool isRepeat = hasTried(subrequest, target->m_entry.m_id);
     subrequest.m_state = SubrequestState::Sent;
     subrequest.m_triedTargetIds.push_back(target->m_entry.m_id);
     subrequest.m_lastSentAt = now;
@@ -217,12 +215,38 @@
     ++subrequest.m_possibleDeliveries;
     ++subrequest.m_possibleExecutions;
     ++m_statistics.m_attempts;
+    return id;
+}
+
+SendResult ForwardEngine::Implementation::sendAttempt(TimePoint now, PendingRequest &pending,
+                                                      std::size_t index, AttemptReason reason)
+{
+    Subrequest &subrequest = pending.m_subrequests[index];
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator targets =
+        m_registry.m_targetsByService.find(subrequest.m_service->m_name);
+    if (targets == m_registry.m_targetsByService.end()) {
+        return SendResult::NoTarget;
+    }
+    const TargetCriteria criteria = targetCriteria(pending, subrequest, reason);
+    const TargetPointer target = selectTarget(targets->second, now, criteria);
+    if (!target) {
+        return SendResult::NoTarget;
+    }
+    if (subrequest.m_possibleDeliveries > 0
+        && !takeFromBudget(now, pending, *subrequest.m_service)) {
+        return SendResult::NoBudget;
+    }
+    if (criteria.m_warmup) {
+        recordColdRequest(*target, now, criteria.m_warmup->m_limit);
+    }
+    const bool isRepeat = hasTried(subrequest, target->m_entry.m_id);
+    const std::uint64_t id = registerAttempt(now, pending, index, target);
     m_statistics.m_repeats += isRepeat ? 1 : 0;
     if (reason != AttemptReason::First) {
-        ++(reason == AttemptReason::Hedge ? m_statistics.m_hedges : m_statistics.m_retries);
-        logDecision(now, pending, index, reason == AttemptReason::Hedge ? "hedge" : "retry",
-                    reason == AttemptReason::Hedge ? "late" : subrequest.m_failureReason,
-                    target->m_entry.m_id, 0);
+        const bool isHedge = reason == AttemptReason::Hedge;
+        ++(isHedge ? m_statistics.m_hedges : m_statistics.m_retries);
+        logDecision(now, pending, index, isHedge ? "hedge" : "retry",
+                    isHedge ? "late" : subrequest.m_failureReason, target->m_entry.m_id, 0);
     }
     if (pending.m_route->m_idempotent
         && subrequest.m_possibleExecutions < pending.m_route->m_attemptLimit) {
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -120,6 +120,13 @@
     // Submission and timers (engine.cpp)
     void submit(TimePoint now, const ForwardRequestPointer &request);
     void startRequest(TimePoint now, const ForwardRequestPointer &request, const Route &route);
+    std::unique_ptr<PendingRequest> createPendingRequest(TimePoint now,
+                                                         const ForwardRequestPointer &request,
+                                                         const Route &route);
+    void assignServices(PendingRequest &pending);
+    //! @brief Refuses a request that cannot be served, or not before a planned stop.
+    //! @return true if it was refused.
+    bool refuseIfUnservable(TimePoint now, const PendingRequest &pending);
     void refuseRequest(const ForwardRequest &request, const ForwardRefusal &refusal);
     const RoutingTablePointer &routingTableOf(const ForwardRequest &request) const;
     void beginShutdown(TimePoint now, const ShutdownSchedule &schedule);
@@ -156,14 +163,24 @@
     void recordRequest(TimePoint now, const PendingRequest &pending, ServiceState &service) const;
     void startSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
     void queueSubrequest(TimePoint now, PendingRequest &pending, std::size_t index);
-    bool outlastsQueue(TimePoint now, const PendingRequest &pending, std::size_t index,
-                       const QueuedSubrequest &entry) const;
+    //! @brief Returns whether the entry is expected to wait longer than its request may wait.
+    bool exceedsQueueTime(TimePoint now, const PendingRequest &pending, std::size_t index,
+                          const QueuedSubrequest &entry) const;
+    //! @brief Attempts that this node may have in flight at the available targets together.
     int availableSlots(TimePoint now, const PendingRequest &pending,
                        const ServiceState &service) const;
     void removeFromQueues(const PendingRequest &pending);
+    TargetCriteria targetCriteria(const PendingRequest &pending, const Subrequest &subrequest,
+                                  AttemptReason reason) const;
+    //! @brief Counts an extra attempt, unless the budget has none left.
+    bool takeFromBudget(TimePoint now, const PendingRequest &pending, ServiceState &service);
+    //! @brief Records an attempt that is about to be sent.
+    //! @return its id.
+    std::uint64_t registerAttempt(TimePoint now, PendingRequest &pending, std::size_t index,
+                                  const TargetPointer &target);
     SendResult sendAttempt(TimePoint now, PendingRequest &pending, std::size_t index,
                            AttemptReason reason);
-    //! @brief Returns whether the room at the targets belongs to a more urgent request that waits.
+    //! @brief Returns whether a request of a higher priority is queued for the service.
     static bool moreUrgentWaits(const PendingRequest &pending, const ServiceState &service);
     void sendHedge(TimePoint now, PendingRequest &pending, std::size_t index);
     void scheduleStragglerHedges(TimePoint now, PendingRequest &pending);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -179,66 +179,90 @@
     m_output.answer(answer);
 }
 
-void ForwardEngine::Implementation::startRequest(TimePoint now,
-                                                 const ForwardRequestPointer &request,
-                                                 const Route &route)
+std::unique_ptr<PendingRequest> ForwardEngine::Implementation::createPendingRequest(
+    TimePoint now, const ForwardRequestPointer &request, const Route &route)
 {
-    std::unique_ptr<PendingRequest> owned = std::make_unique<PendingRequest>();
-    PendingRequest &pending = *owned;
-    pending.m_id = ++m_lastId;
-    pending.m_request = request;
-    pending.m_routingTable = routingTableOf(*request);
-    pending.m_route = &route;
-    pending.m_routeLatency = &routeLatency(route);
-    pending.m_arrivedAt = now - request->m_timeHeld;
+    std::unique_ptr<PendingRequest> pending = std::make_unique<PendingRequest>();
+    pending->m_id = ++m_lastId;
+    pending->m_request = request;
+    pending->m_routingTable = routingTableOf(*request);
+    pending->m_route = &route;
+    pending->m_routeLatency = &routeLatency(route);
+    pending->m_arrivedAt = now - request->m_timeHeld;
     const Duration timeLeft = request->m_timeLeft.value_or(route.m_timeout);
     Duration elapsedBefore =
-        std::max(Duration::zero(), pending.m_routeLatency->m_maximumTimeLeft - timeLeft);
-    pending.m_routeLatency->m_maximumTimeLeft =
-        std::max(pending.m_routeLatency->m_maximumTimeLeft, timeLeft);
+        std::max(Duration::zero(), pending->m_routeLatency->m_maximumTimeLeft - timeLeft);
+    pending->m_routeLatency->m_maximumTimeLeft =
+        std::max(pending->m_routeLatency->m_maximumTimeLeft, timeLeft);
     if (elapsedBefore < repeatedRequestThreshold) {
         elapsedBefore = Duration::zero();
     }
     const AnswerSchedule schedule =
         scheduleAnswers(route, request->m_callerPath, timeLeft, elapsedBefore);
-    pending.m_ownDeadline = pending.m_arrivedAt + schedule.m_deadline;
-    pending.m_deadline = pending.m_ownDeadline;
-    pending.m_refuseAt = pending.m_arrivedAt + schedule.m_refusal;
-    pending.m_partialAnswerAt = pending.m_arrivedAt + schedule.m_partialAnswer;
+    pending->m_ownDeadline = pending->m_arrivedAt + schedule.m_deadline;
+    pending->m_deadline = pending->m_ownDeadline;
+    pending->m_refuseAt = pending->m_arrivedAt + schedule.m_refusal;
+    pending->m_partialAnswerAt = pending->m_arrivedAt + schedule.m_partialAnswer;
+    assignServices(*pending);
+    return pending;
+}
+
+void ForwardEngine::Implementation::assignServices(PendingRequest &pending)
+{
+    const Route &route = *pending.m_route;
     if (route.m_shards.empty()) {
         const std::size_t choice =
             selectWeightedService(route.m_services, m_splitCreditsByRoute[route.m_name]);
         pending.m_subrequests.resize(1);
         pending.m_subrequests[0].m_service = &serviceState(route.m_services[choice].m_service);
-    } else {
-        pending.m_subrequests.resize(route.m_shards.size());
-        for (std::size_t index = 0; index < route.m_shards.size(); ++index) {
-            pending.m_subrequests[index].m_service = &serviceState(route.m_shards[index]);
-        }
+        return;
     }
+    pending.m_subrequests.resize(route.m_shards.size());
+    for (std::size_t index = 0; index < route.m_shards.size(); ++index) {
+        pending.m_subrequests[index].m_service = &serviceState(route.m_shards[index]);
+    }
+}
+
+bool ForwardEngine::Implementation::refuseIfUnservable(TimePoint now, const PendingRequest &pending)
+{
+    const Route &route = *pending.m_route;
     const ServiceState *singleService =
         route.m_shards.empty() ? pending.m_subrequests.front().m_service : nullptr;
     if (!canServe(now, route, singleService)) {
-        // Other nodes leave the evacuated targets alone as well.
+        // Other nodes cannot use evacuated targets either, so this one stays ready.
         if (!isAffectedByEvacuation(route, singleService)) {
             m_unreachableUntil = now + unreachablePeriod;
         }
-        refuseRequest(*request,
+        refuseRequest(*pending.m_request,
                       {AnswerKind::Refused, 503, "targets-unreachable", unreachableRetryAfter, {}});
-        return;
+        return true;
     }
     if (m_shutdown && !acceptsInShutdown(now, pending)) {
-        refuseRequest(*request,
+        refuseRequest(*pending.m_request,
                       {AnswerKind::Refused, 503, "shutting-down", shutdownRetryAfter, {}});
+        return true;
+    }
+    return false;
+}
+
+void ForwardEngine::Implementation::startRequest(TimePoint now,
+                                                 const ForwardRequestPointer &request,
+                                                 const Route &route)
+{
+    std::unique_ptr<PendingRequest> owned = createPendingRequest(now, request, route);
+    PendingRequest &pending = *owned;
+    if (refuseIfUnservable(now, pending)) {
         return;
     }
-    m_pendingIdByCaller[request->m_caller] = pending.m_id;
     const std::uint64_t id = pending.m_id;
+    m_pendingIdByCaller[request->m_caller] = id;
     m_pendingRequests[id] = std::move(owned);
+    const bool mayBePartial =
+        !route.m_shards.empty() && pending.m_partialAnswerAt > pending.m_arrivedAt;
     limitToShutdown(pending);
     addTimer(pending.m_deadline, TimerKind::Deadline, id);
     addTimer(pending.m_refuseAt, TimerKind::QueueTimeout, id);
-    if (!route.m_shards.empty() && schedule.m_partialAnswer > Duration::zero()) {
+    if (mayBePartial) {
         addTimer(pending.m_partialAnswerAt, TimerKind::PartialAnswer, id);
     }
     const std::size_t count = pending.m_subrequests.size();
--- a/libs/forwarding/tests/engineroomtest.cpp
+++ b/libs/forwarding/tests/enginecapacitytest.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-class EngineRoom : public EngineTest
+//! @brief Engine whose targets are evacuated, cold or full.
+class EngineCapacity : public EngineTest
 {
 protected:
     void evacuate(const std::string &dataCentre, bool evacuated = true)
@@ -17,7 +18,7 @@
         m_engine.registryChanged(m_now);
     }
 
-    //! @brief Takes all room at the targets of the service.
+    //! @brief Uses up the capacity of the targets of the service.
     void fillTargets(const std::string &service)
     {
         for (const TargetPointer &target : m_engine.registry().m_targetsByService[service]) {
@@ -43,7 +44,7 @@
 
 // Guards against attempts, hedges, retries and probes to targets of an evacuated data centre, also
 // to those that are added meanwhile.
-TEST_F(EngineRoom, EvacuatedTargetsGetNothing)
+TEST_F(EngineCapacity, EvacuatedTargetsGetNothing)
 {
     m_table.m_routes[0].m_attemptLimit = 8;
     applyTable(2);
@@ -69,7 +70,7 @@
 
 // Guards against a queued request that waits for evacuated targets until its time is over, and
 // against a node that leaves the balancer because targets are evacuated.
-TEST_F(EngineRoom, RequestsWithOnlyEvacuatedTargetsAreRefusedAtOnce)
+TEST_F(EngineCapacity, RequestsWithOnlyEvacuatedTargetsAreRefusedAtOnce)
 {
     fillTargets("orders");
     submit("/orders/x");
@@ -94,7 +95,7 @@
 
 // Guards against a cold target that gets more than this node's share, and against a limit for
 // services that have none.
-TEST_F(EngineRoom, ColdTargetGetsOnlyTheShareOfThisNode)
+TEST_F(EngineCapacity, ColdTargetGetsOnlyTheShareOfThisNode)
 {
     constexpr int requests = 6;
     for (const bool isLimited : {true, false}) {
@@ -122,7 +123,7 @@
 
 // Guards against a request that waits although those ahead of it take longer than it may wait, and
 // against such a refusal of more urgent ones.
-TEST_F(EngineRoom, RefusesAtOnceWhatCannotBeServedInTime)
+TEST_F(EngineCapacity, RefusesAtOnceWhatCannotBeServedInTime)
 {
     m_table.m_routes[1].m_priority = 1;
     applyTable(2);
@@ -145,7 +146,7 @@
 
 // Guards against one organisation's backlog that is served before the requests of others, and
 // against a priority of an organisation that does not override the one of the route.
-TEST_F(EngineRoom, FreedRoomGoesToOrganisationsInTurn)
+TEST_F(EngineCapacity, FreedRoomGoesToOrganisationsInTurn)
 {
     fillTargets("orders");
     submitFor("large", 1);
@@ -163,7 +164,7 @@
 
 // Guards against the retry of a less urgent request that takes the room at a target before a more
 // urgent request that waits for it.
-TEST_F(EngineRoom, RetriesLeaveFreedRoomToMoreUrgentRequests)
+TEST_F(EngineCapacity, RetriesLeaveFreedRoomToMoreUrgentRequests)
 {
     m_table.m_connectionLimits["orders"] = 1;
     applyTable(2);
