Split long functions of the gateway node and name errors of relays

What was called a doubt about an answer of a relay is an error now; the metric keeps its name. The comparison of endpoints and the status of a reply without known changes stood twice. Tests of failing relays say what is expected.

--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -116,6 +116,53 @@
     return stableHash(text);
 }
 
+using HttpHeader = HttpHeaders::value_type;
+
+//! @brief What the headers of a request hold besides the fields of ForwardRequest.
+struct HeaderFindings
+{
+    int m_hostCount = 0;
+    bool m_hasSeveralIds = false;
+    int m_authorizationCount = 0;
+    std::string m_authorization; //!< The last one.
+};
+
+//! @brief What becomes of a header.
+enum class HeaderUse {
+    PassedOn,
+    Removed,
+    Other, //!< Passed on unless it is hop-by-hop.
+};
+
+//! @brief Takes what the gateway itself needs from a header.
+HeaderUse readHeader(const HttpHeader &header, const ForwardHeaders &names, bool hasOrganisations,
+                     ForwardRequest &request, HeaderFindings &found)
+{
+    if (iequals(header.first, "host")) {
+        ++found.m_hostCount;
+        request.m_host = normalizeHost(header.second);
+        return HeaderUse::PassedOn;
+    }
+    if (iequals(header.first, names.m_requestId)) {
+        found.m_hasSeveralIds = found.m_hasSeveralIds || !request.m_requestId.empty();
+        request.m_requestId = header.second;
+        return HeaderUse::PassedOn;
+    }
+    if (iequals(header.first, names.m_timeLeft)) {
+        request.m_timeLeft = parseMilliseconds(header.second);
+        return HeaderUse::Removed;
+    }
+    if (hasOrganisations && iequals(header.first, "authorization")) {
+        ++found.m_authorizationCount;
+        found.m_authorization = header.second;
+        return HeaderUse::Removed;
+    }
+    const bool namesOrganisation = hasOrganisations && iequals(header.first, names.m_organisation);
+    const bool isRemoved = namesOrganisation || iequals(header.first, names.m_expectedTarget)
+                           || iequals(header.first, "expect");
+    return isRemoved ? HeaderUse::Removed : HeaderUse::Other;
+}
+
 } // namespace
 
 CallerPath callerPath(const HttpRequest &request)
@@ -126,44 +173,25 @@
 ParsedCallerRequest parseCallerRequest(const HttpRequest &request, const ForwardHeaders &headers,
                                        const RoutingTablePointer &table)
 {
-    const std::shared_ptr<ForwardRequest> result = std::make_shared<ForwardRequest>();
     if (request.m_target.empty() || request.m_target.front() != '/') {
         return {nullptr, "the request target is not a path", {}};
     }
+    const std::shared_ptr<ForwardRequest> result = std::make_shared<ForwardRequest>();
     const std::string_view connectionHeader = request.header("connection");
-    std::string head = request.m_method + ' ' + request.m_target + " HTTP/1.1\r\n";
     const bool hasOrganisations = table && table->m_definesOrganisations;
-    std::string authorization;
-    int authorizationCount = 0;
-    int hostCount = 0;
-    for (const std::pair<std::string, std::string> &header : request.m_headers) {
-        if (iequals(header.first, "host")) {
-            ++hostCount;
-            result->m_host = normalizeHost(header.second);
-        } else if (iequals(header.first, headers.m_requestId)) {
-            if (!result->m_requestId.empty()) {
-                return {nullptr, "the request has several ids", {}};
-            }
-            result->m_requestId = header.second;
-        } else if (iequals(header.first, headers.m_timeLeft)) {
-            result->m_timeLeft = parseMilliseconds(header.second);
-            continue;
-        } else if (hasOrganisations && iequals(header.first, "authorization")) {
-            ++authorizationCount;
-            authorization = header.second;
-            continue;
-        } else if ((hasOrganisations && iequals(header.first, headers.m_organisation))
-                   || iequals(header.first, headers.m_expectedTarget)
-                   || iequals(header.first, "expect")
-                   || isHopByHop(header.first, connectionHeader)) {
-            continue;
+    std::string head = request.m_method + ' ' + request.m_target + " HTTP/1.1\r\n";
+    HeaderFindings found;
+    for (const HttpHeader &header : request.m_headers) {
+        const HeaderUse use = readHeader(header, headers, hasOrganisations, *result, found);
+        if (use == HeaderUse::PassedOn
+            || (use == HeaderUse::Other && !isHopByHop(header.first, connectionHeader))) {
+            head += header.first + ": " + header.second + "\r\n";
         }
-        head += header.first;
-        head += ": ";
-        head += header.second;
-        head += "\r\n";
     }
-    if (hostCount != 1 || result->m_host.empty()) {
+    if (found.m_hasSeveralIds) {
+        return {nullptr, "the request has several ids", {}};
+    }
+    if (found.m_hostCount != 1 || result->m_host.empty()) {
         return {nullptr, "the request needs one Host header", {}};
     }
     if (result->m_requestId.empty()) {
@@ -180,8 +208,8 @@
     result->m_body = request.m_body;
     result->m_fingerprint = computeFingerprint(*result, request.m_target);
     result->m_routingTable = table;
-    // Which of several keys counts would be a guess.
-    return {result, {}, authorizationCount == 1 ? authorization : std::string()};
+    // With several keys it is undefined which one counts, so none does.
+    return {result, {}, found.m_authorizationCount == 1 ? found.m_authorization : std::string()};
 }
 
 std::optional<ForwardRefusal> authorizeRequest(const ParsedCallerRequest &parsed,
--- a/libs/gatewaynode/src/decisionlog.cpp
+++ b/libs/gatewaynode/src/decisionlog.cpp
@@ -9,39 +9,16 @@
 constexpr int maximumLinesPerSecond = 200;
 constexpr std::uint64_t successSampleInterval = 64; //!< One of this many successes is logged.
 
-} // namespace
-
-void DecisionLog::record(TimePoint now, const ForwardDecision &decision)
+void addName(boost::json::object &fields, std::string_view field, std::string_view name)
 {
-    if (decision.m_mayBeSampled && ++m_successes % successSampleInterval != 1) {
-        return;
-    }
-    if (!admitLine(now)) {
-        return;
-    }
-    boost::json::object fields;
-    fields["request"] = decision.m_requestId;
-    fields["reason"] = decision.m_reason;
-    if (!decision.m_route.empty()) {
-        fields["route"] = decision.m_route;
-    }
-    if (!decision.m_service.empty()) {
-        fields["service"] = decision.m_service;
-    }
-    if (!decision.m_target.empty()) {
-        fields["target"] = decision.m_target;
-    }
-    if (!decision.m_organisation.empty()) {
-        fields["organisation"] = decision.m_organisation;
+    if (!name.empty()) {
+        fields[field] = name;
     }
-    if (!decision.m_keyHash.empty()) {
-        fields["keyHash"] = decision.m_keyHash;
-    }
-    if (!decision.m_coordinator.empty()) {
-        fields["coordinator"] = decision.m_coordinator;
-    }
-    fields["version"] = decision.m_version;
-    fields["ageMicroseconds"] = decision.m_age.count();
+}
+
+//! @brief Adds the fields that not every decision has.
+void addDetails(boost::json::object &fields, const ForwardDecision &decision)
+{
     if (decision.m_sinceSent) {
         fields["sinceSentMicroseconds"] = decision.m_sinceSent->count();
     }
@@ -60,6 +37,30 @@
     if (decision.m_timeUntilStop) {
         fields["timeUntilStopMicroseconds"] = decision.m_timeUntilStop->count();
     }
+}
+
+} // namespace
+
+void DecisionLog::record(TimePoint now, const ForwardDecision &decision)
+{
+    if (decision.m_mayBeSampled && ++m_successes % successSampleInterval != 1) {
+        return;
+    }
+    if (!admitLine(now)) {
+        return;
+    }
+    boost::json::object fields;
+    fields["request"] = decision.m_requestId;
+    fields["reason"] = decision.m_reason;
+    addName(fields, "route", decision.m_route);
+    addName(fields, "service", decision.m_service);
+    addName(fields, "target", decision.m_target);
+    addName(fields, "organisation", decision.m_organisation);
+    addName(fields, "keyHash", decision.m_keyHash);
+    addName(fields, "coordinator", decision.m_coordinator);
+    fields["version"] = decision.m_version;
+    fields["ageMicroseconds"] = decision.m_age.count();
+    addDetails(fields, decision);
     m_log.write(LogLevel::Info, decision.m_event, "", fields);
 }
 
--- a/libs/gatewaynode/src/details/relaychoice.h
+++ b/libs/gatewaynode/src/details/relaychoice.h
@@ -12,12 +12,14 @@
 #include "base/base.h"
 #include "gatewaynode/gatewaynode.h"
 
-//! Which nodes relay the changes of the store to others, which relay a node uses, and when its
-//! answers can be used. No input or output; `now` is a parameter.
+//! @brief Which nodes relay the changes of the store to others, which relay a node uses, and when
+//! its answers can be used. No input or output; `now` is a parameter.
 namespace arbutusgrade {
 
 //! A data centre with fewer nodes has no relays: each node watches the store itself.
 inline constexpr std::size_t minimumNodesForRelays = 8;
+
+//! Each relay has a share of the followers, and those of the other one while that is skipped.
 inline constexpr std::size_t relaysPerDataCentre = 2;
 
 //! Wait of a relay's own watch, and of a watch that a relay answers.
@@ -65,9 +67,13 @@
 //! @return false if they are the same as before.
 bool setRelays(RelayRoute &route, std::string_view node, std::vector<RegisteredNode> relays);
 
+//! @brief True if both links have the same address and port.
+bool isSameEndpoint(const NodeLinkSettings &left, const NodeLinkSettings &right);
+
 //! @brief Returns the relay to ask, or null if the store is to be asked.
 const RegisteredNode *chooseRelay(const RelayRoute &route, TimePoint now);
 
+//! @brief Does not ask the relay again until relaySkipTime has passed.
 void skipRelay(RelayRoute &route, TimePoint now, const std::string &name);
 
 //! @brief Wait and time-out of a call to a relay.
@@ -83,10 +89,10 @@
 RelayCallTimes relayCallTimes(Duration dataAge, std::chrono::milliseconds maximumAge);
 
 //! @brief Why an answer of a relay is not used.
-enum class RelayDoubt { NoReply, Refused, Unreadable, HistoryGone, OtherEra, OldData };
+enum class RelayError { NoReply, Refused, Unreadable, HistoryGone, OtherEra, OldData };
 
-//! @brief Name of a doubt for the log.
-std::string_view relayDoubtName(RelayDoubt doubt);
+//! @brief Name of an error for the log.
+std::string_view relayErrorName(RelayError error);
 
 //! @brief A relay's answer to a watch.
 struct RelayAnswer
@@ -98,8 +104,8 @@
 };
 
 //! @brief Returns why the answer cannot be used, or nothing.
-std::optional<RelayDoubt> judgeAnswer(const RelayAnswer &answer, StoreEra knownEra,
-                                      std::uint64_t afterRevision,
-                                      std::chrono::milliseconds maximumAge);
+std::optional<RelayError> validateAnswer(const RelayAnswer &answer, StoreEra knownEra,
+                                         std::uint64_t afterRevision,
+                                         std::chrono::milliseconds maximumAge);
 
 } // namespace arbutusgrade
--- a/libs/gatewaynode/src/details/relayedstore.h
+++ b/libs/gatewaynode/src/details/relayedstore.h
@@ -13,6 +13,7 @@
 
 namespace arbutusgrade {
 
+//! @brief What a RelayedStore has to know of its node and the watched keys.
 struct RelayedStoreOptions
 {
     std::string m_node;
@@ -22,11 +23,12 @@
     CoordinationSettings m_coordination;
 };
 
+//! @brief Counters since the start of the process.
 struct RelayedStoreStatistics
 {
-    std::uint64_t m_relayAnswers = 0; //!< Watches answered by a relay.
-    std::uint64_t m_storeWatches = 0; //!< Watches that went to the store.
-    std::uint64_t m_doubts = 0;       //!< Answers of relays that were not used.
+    std::uint64_t m_relayAnswers = 0;    //!< Watches answered by a relay.
+    std::uint64_t m_storeWatches = 0;    //!< Watches that went to the store.
+    std::uint64_t m_rejectedAnswers = 0; //!< Answers of relays that were not used.
 };
 
 //! @brief Store whose watches are answered by a relay while that is useful.
@@ -57,6 +59,8 @@
     bool isRelay() const;
 
     const RelayedStoreStatistics &statistics() const;
+
+    //! @brief Answers the watches of other nodes.
     const RelayServer &server() const;
 
     void list(std::string_view prefix, std::string_view after, ReadConsistency consistency,
@@ -93,7 +97,7 @@
     void handleStoreReply(const Watch &watch, const MetadataChanges &changes);
     void watchRelay(const RegisteredNode &relay, Watch watch);
     void handleRelayReply(const std::string &relay, const Watch &watch, const ReplyContent *reply);
-    void reportDoubt(const std::string &relay, const Watch &watch, RelayDoubt doubt);
+    void handleRelayError(const std::string &relay, const Watch &watch, RelayError error);
     std::shared_ptr<Link> linkTo(const RegisteredNode &relay);
     void setRelayRole(bool isRelay);
     void logRelay(const std::string &relay, std::string_view reason);
--- a/libs/gatewaynode/src/details/relayserver.h
+++ b/libs/gatewaynode/src/details/relayserver.h
@@ -12,6 +12,7 @@
 
 namespace arbutusgrade {
 
+//! @brief Counters since the start of the process.
 struct RelayServerStatistics
 {
     std::uint64_t m_answered = 0; //!< Watches, with changes or without.
@@ -23,6 +24,7 @@
 class RelayServer
 {
 public:
+    //! Calls that wait for changes; more are refused.
     static constexpr std::size_t maximumPending = 256;
 
     //! @param prefix of the watches that the history covers.
@@ -38,7 +40,7 @@
     //! @brief Replaces the addresses whose calls are accepted.
     void setRegisteredAddresses(std::set<std::string> addresses);
 
-    //! @brief Begins or ends to keep changes. While the node is no relay, calls are refused.
+    //! @brief Starts or stops keeping changes. While the node is no relay, calls are refused.
     void setActive(bool active);
     bool isActive() const
     {
@@ -77,6 +79,7 @@
     void answer(TimePoint now, std::span<const Pending> calls);
     void completeCalls(TimePoint now);
     void armTimer();
+    //! @brief When the data will be older than followers accept.
     TimePoint oldDataTime() const;
 
     std::string m_encodedPrefix;
--- a/libs/gatewaynode/src/details/restoreguard.h
+++ b/libs/gatewaynode/src/details/restoreguard.h
@@ -44,8 +44,8 @@
         std::int64_t m_started = 0;
         std::int64_t m_sequence = 0;
         TimePoint m_recordedAt;
-        bool m_isInStore =
-            false; //!< Its entry is in the restored store; kept until it is rewritten.
+        //! Its entry is in the restored store; kept until it is rewritten.
+        bool m_isInStore = false;
     };
 
     void purge(TimePoint now);
--- a/libs/gatewaynode/src/eratracker.cpp
+++ b/libs/gatewaynode/src/eratracker.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// While servers of different eras answer in turn, each lower era would begin a new listing at once.
+// Limits the rate of listings while servers of different eras answer alternately.
 constexpr Duration lowerEraDelay = std::chrono::seconds(5);
 
 } // namespace
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -10,6 +10,55 @@
     "relayed",   "merged",      "no-route",     "refused",       "failed",
     "timed-out", "quarantined", "unauthorized", "quota-exceeded"};
 
+void addEngineMetrics(MetricFamilies &families, const ForwardStatistics &engine)
+{
+    const auto counter = [&families](std::string_view name, std::string_view help,
+                                     std::uint64_t value) {
+        addCounter(families, name, help, static_cast<double>(value));
+    };
+    counter("arbutusgrade_requests_total", "Requests of callers", engine.m_requests);
+    for (std::size_t kind = 0; kind < answerNames.size(); ++kind) {
+        addCounter(families, "arbutusgrade_answers_total", "Answers by kind",
+                   static_cast<double>(engine.m_answers[kind]), {{"kind", answerNames[kind]}});
+    }
+    counter("arbutusgrade_partial_answers_total", "Searches with shards missing", engine.m_partial);
+    counter("arbutusgrade_attempts_total", "Requests sent to targets", engine.m_attempts);
+    counter("arbutusgrade_hedges_total", "Second attempts as the first was late", engine.m_hedges);
+    counter("arbutusgrade_retries_total", "Attempts after a failed one", engine.m_retries);
+    counter("arbutusgrade_repeats_total", "Attempts at a target that had the request before",
+            engine.m_repeats);
+    counter("arbutusgrade_budget_denied_total", "Extra attempts beyond the budget",
+            engine.m_budgetDenied);
+    counter("arbutusgrade_foreign_replies_total", "Replies that belong to another request",
+            engine.m_mismatches);
+    counter("arbutusgrade_callers_gone_total", "Callers that left before their answer",
+            engine.m_callerDisconnects);
+    counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
+            engine.m_probes);
+    counter("arbutusgrade_crashes_total", "Crashes of targets attributed to requests",
+            engine.m_crashes);
+    counter("arbutusgrade_crashes_cleared_total", "Shared crashes cleared by an answer",
+            engine.m_clearedCrashes);
+    addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
+               static_cast<double>(engine.m_acceptedInShutdown), {{"decision", "accepted"}});
+    addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
+               static_cast<double>(engine.m_refusedInShutdown), {{"decision", "refused"}});
+}
+
+void addCallerConnections(MetricFamilies &families, const HttpConnectionCounts &connections)
+{
+    const std::array<std::pair<std::string_view, std::size_t>, 5> states{
+        {{"idle", connections.m_idle},
+         {"reading", connections.m_reading},
+         {"handling", connections.m_handling},
+         {"writing", connections.m_writing},
+         {"draining", connections.m_draining}}};
+    for (const std::pair<std::string_view, std::size_t> &state : states) {
+        addGauge(families, "arbutusgrade_caller_connections", "Connections of callers by state",
+                 static_cast<double>(state.second), {{"state", state.first}});
+    }
+}
+
 } // namespace
 
 void GatewayNode::Implementation::addStoreMetrics(MetricFamilies &families) const
@@ -24,7 +73,7 @@
     counter(watches, "Watches by who was asked", relayed.m_storeWatches, {{"source", "store"}});
     counter(watches, "Watches by who was asked", relayed.m_relayAnswers, {{"source", "relay"}});
     counter("arbutusgrade_relay_doubts_total", "Answers of relays that were not used",
-            relayed.m_doubts);
+            relayed.m_rejectedAnswers);
     constexpr std::string_view served = "arbutusgrade_relay_served_total";
     counter(served, "Watches of other nodes", server.statistics().m_answered,
             {{"result", "answered"}});
@@ -47,33 +96,7 @@
                                      std::uint64_t value) {
         addCounter(families, name, help, static_cast<double>(value));
     };
-    counter("arbutusgrade_requests_total", "Requests of callers", engine.m_requests);
-    for (std::size_t kind = 0; kind < answerNames.size(); ++kind) {
-        addCounter(families, "arbutusgrade_answers_total", "Answers by kind",
-                   static_cast<double>(engine.m_answers[kind]), {{"kind", answerNames[kind]}});
-    }
-    counter("arbutusgrade_partial_answers_total", "Searches with shards missing", engine.m_partial);
-    counter("arbutusgrade_attempts_total", "Requests sent to targets", engine.m_attempts);
-    counter("arbutusgrade_hedges_total", "Second attempts as the first was late", engine.m_hedges);
-    counter("arbutusgrade_retries_total", "Attempts after a failed one", engine.m_retries);
-    counter("arbutusgrade_repeats_total", "Attempts at a target that had the request before",
-            engine.m_repeats);
-    counter("arbutusgrade_budget_denied_total", "Extra attempts beyond the budget",
-            engine.m_budgetDenied);
-    counter("arbutusgrade_foreign_replies_total", "Replies that belong to another request",
-            engine.m_mismatches);
-    counter("arbutusgrade_callers_gone_total", "Callers that left before their answer",
-            engine.m_callerDisconnects);
-    counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
-            engine.m_probes);
-    counter("arbutusgrade_crashes_total", "Crashes of targets attributed to requests",
-            engine.m_crashes);
-    counter("arbutusgrade_crashes_cleared_total", "Shared crashes cleared by an answer",
-            engine.m_clearedCrashes);
-    addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
-               static_cast<double>(engine.m_acceptedInShutdown), {{"decision", "accepted"}});
-    addCounter(families, "arbutusgrade_shutdown_requests_total", "Requests during a planned stop",
-               static_cast<double>(engine.m_refusedInShutdown), {{"decision", "refused"}});
+    addEngineMetrics(families, engine);
     counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
     counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
             client.m_connectFailures);
@@ -92,17 +115,7 @@
     counter("arbutusgrade_connections_closed_unread_total",
             "Idle connections of callers closed with bytes that were not read",
             m_callerServer.statistics().m_closedWithUnreadBytes);
-    const HttpConnectionCounts connections = m_callerServer.connectionCounts();
-    const std::array<std::pair<std::string_view, std::size_t>, 5> states{
-        {{"idle", connections.m_idle},
-         {"reading", connections.m_reading},
-         {"handling", connections.m_handling},
-         {"writing", connections.m_writing},
-         {"draining", connections.m_draining}}};
-    for (const std::pair<std::string_view, std::size_t> &state : states) {
-        addGauge(families, "arbutusgrade_caller_connections", "Connections of callers by state",
-                 static_cast<double>(state.second), {{"state", state.first}});
-    }
+    addCallerConnections(families, m_callerServer.connectionCounts());
     if (m_quotaService.isActive()) {
         addGauge(families, "arbutusgrade_quota_requests_waiting", "Requests that wait for a token",
                  static_cast<double>(m_admission.waitingRequests()));
--- a/libs/gatewaynode/src/quotaservice.cpp
+++ b/libs/gatewaynode/src/quotaservice.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+// Time between attempts to bind the port of the link.
 constexpr Duration openRetryInterval = std::chrono::seconds(1);
 
 //! @brief Returns a random number other than 0, which no other process is likely to have.
--- a/libs/gatewaynode/src/relaychoice.cpp
+++ b/libs/gatewaynode/src/relaychoice.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+//! A relay pauses for this fraction of the time in which changes must be in force.
 constexpr int relayPauseDivisor = 8;
 
 double relayScore(const RegisteredNode &node)
@@ -22,12 +23,16 @@
 
 bool isSameLink(const RegisteredNode &left, const RegisteredNode &right)
 {
-    return left.m_name == right.m_name && left.m_link.m_address == right.m_link.m_address
-           && left.m_link.m_port == right.m_link.m_port;
+    return left.m_name == right.m_name && isSameEndpoint(left.m_link, right.m_link);
 }
 
 } // namespace
 
+bool isSameEndpoint(const NodeLinkSettings &left, const NodeLinkSettings &right)
+{
+    return left.m_address == right.m_address && left.m_port == right.m_port;
+}
+
 std::chrono::milliseconds relayPause(std::chrono::milliseconds changeBound)
 {
     return changeBound / relayPauseDivisor;
@@ -111,40 +116,40 @@
     return RelayCallTimes{wait, timeout};
 }
 
-std::string_view relayDoubtName(RelayDoubt doubt)
+std::string_view relayErrorName(RelayError error)
 {
-    switch (doubt) {
-    case RelayDoubt::NoReply:
+    switch (error) {
+    case RelayError::NoReply:
         return "no-reply";
-    case RelayDoubt::Refused:
+    case RelayError::Refused:
         return "refused";
-    case RelayDoubt::Unreadable:
+    case RelayError::Unreadable:
         return "unreadable";
-    case RelayDoubt::HistoryGone:
+    case RelayError::HistoryGone:
         return "history-gone";
-    case RelayDoubt::OtherEra:
+    case RelayError::OtherEra:
         return "other-era";
-    case RelayDoubt::OldData:
+    case RelayError::OldData:
         return "old-data";
     }
     return "";
 }
 
-std::optional<RelayDoubt> judgeAnswer(const RelayAnswer &answer, StoreEra knownEra,
-                                      std::uint64_t afterRevision,
-                                      std::chrono::milliseconds maximumAge)
+std::optional<RelayError> validateAnswer(const RelayAnswer &answer, StoreEra knownEra,
+                                         std::uint64_t afterRevision,
+                                         std::chrono::milliseconds maximumAge)
 {
     if (answer.m_era != knownEra) {
-        return RelayDoubt::OtherEra;
+        return RelayError::OtherEra;
     }
     if (answer.m_age > maximumAge) {
-        return RelayDoubt::OldData;
+        return RelayError::OldData;
     }
     std::uint64_t previous = afterRevision;
     for (const MetadataEvent &event : answer.m_events) {
         const std::uint64_t revision = event.m_item.m_revision;
         if (revision <= afterRevision || revision < previous || revision > answer.m_upTo) {
-            return RelayDoubt::Unreadable;
+            return RelayError::Unreadable;
         }
         previous = revision;
     }
--- a/libs/gatewaynode/src/relayedstore.cpp
+++ b/libs/gatewaynode/src/relayedstore.cpp
@@ -10,32 +10,33 @@
 // One call is in flight; another may follow while a replaced one has not ended yet.
 constexpr int connectionsPerRelay = 2;
 
-// A shorter watch is for changes that the store already has.
+// Shorter watches fetch changes that the store is known to have; a relay may not have them yet.
 constexpr std::chrono::milliseconds minimumRelayedWait{100};
 
+// Ends connections to a relay that has disappeared.
 constexpr std::chrono::milliseconds relayPeerTimeout{1'000};
 
 //! @brief The answer in the reply of a relay, or why there is none.
 struct ReadAnswer
 {
     std::optional<RelayAnswer> m_answer;
-    RelayDoubt m_doubt = RelayDoubt::Unreadable;
+    RelayError m_error = RelayError::Unreadable;
 };
 
 ReadAnswer readAnswer(const ReplyContent *reply)
 {
     if (reply == nullptr) {
-        return ReadAnswer{std::nullopt, RelayDoubt::NoReply};
+        return ReadAnswer{std::nullopt, RelayError::NoReply};
     }
     switch (reply->m_status) {
     case 200:
-        return ReadAnswer{decodeRelayAnswer(reply->m_body), RelayDoubt::Unreadable};
-    case 410:
-        return ReadAnswer{std::nullopt, RelayDoubt::HistoryGone};
+        return ReadAnswer{decodeRelayAnswer(reply->m_body), RelayError::Unreadable};
+    case historyGoneStatus:
+        return ReadAnswer{std::nullopt, RelayError::HistoryGone};
     case 0:
-        return ReadAnswer{std::nullopt, RelayDoubt::Unreadable};
+        return ReadAnswer{std::nullopt, RelayError::Unreadable};
     default:
-        return ReadAnswer{std::nullopt, RelayDoubt::Refused};
+        return ReadAnswer{std::nullopt, RelayError::Refused};
     }
 }
 
@@ -55,8 +56,7 @@
 bool isSameNode(const RegisteredNode &left, const RegisteredNode &right)
 {
     return left.m_name == right.m_name && left.m_dataCentre == right.m_dataCentre
-           && left.m_link.m_address == right.m_link.m_address
-           && left.m_link.m_port == right.m_link.m_port
+           && isSameEndpoint(left.m_link, right.m_link)
            && left.m_link.m_weight == right.m_link.m_weight;
 }
 
@@ -221,8 +221,7 @@
 {
     std::shared_ptr<Link> &link = m_links[relay.m_name];
     const NodeLinkSettings &address = relay.m_link;
-    if (!link || link->m_address.m_address != address.m_address
-        || link->m_address.m_port != address.m_port) {
+    if (!link || !isSameEndpoint(link->m_address, address)) {
         link = std::make_shared<Link>();
         link->m_address = address;
         link->m_client = std::make_shared<HttpClient>(m_context, link->m_hop, connectionsPerRelay);
@@ -262,14 +261,14 @@
     }
     const ReadAnswer read = readAnswer(reply);
     if (!read.m_answer) {
-        reportDoubt(relay, watch, read.m_doubt);
+        handleRelayError(relay, watch, read.m_error);
         return;
     }
     const RelayAnswer &answer = *read.m_answer;
-    const std::optional<RelayDoubt> doubt =
-        judgeAnswer(answer, m_era, watch.m_afterRevision, m_maximumAge);
-    if (doubt) {
-        reportDoubt(relay, watch, *doubt);
+    const std::optional<RelayError> error =
+        validateAnswer(answer, m_era, watch.m_afterRevision, m_maximumAge);
+    if (error) {
+        handleRelayError(relay, watch, *error);
         return;
     }
     ++m_statistics.m_relayAnswers;
@@ -285,11 +284,11 @@
     watch.m_handler(changes);
 }
 
-void RelayedStore::reportDoubt(const std::string &relay, const Watch &watch, RelayDoubt doubt)
+void RelayedStore::handleRelayError(const std::string &relay, const Watch &watch, RelayError error)
 {
-    ++m_statistics.m_doubts;
+    ++m_statistics.m_rejectedAnswers;
     skipRelay(m_route, bootTimeNow(), relay);
-    logRelay({}, relayDoubtName(doubt));
+    logRelay({}, relayErrorName(error));
     watchStore(watch);
 }
 
--- a/libs/gatewaynode/src/relayserver.cpp
+++ b/libs/gatewaynode/src/relayserver.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t headerLimitBytes = 4 * 1024;
 constexpr std::uint32_t bodyLimitBytes = 1024;
 
-// A peer that does not read its answer, or has vanished.
+// For peers that do not read their answer or have disappeared.
 constexpr Duration writeTimeout = std::chrono::seconds(3);
 constexpr std::chrono::milliseconds peerTimeout{3'000};
 
@@ -131,7 +131,7 @@
 {
     const std::optional<RelayAnswer> answer = m_history.changesAfter(now, afterRevision);
     if (!answer) {
-        return errorResponse(410, "the changes are not known");
+        return errorResponse(historyGoneStatus, "the changes are not known");
     }
     HttpResponse response;
     response.m_body = encodeRelayAnswer(*answer);
--- a/libs/gatewaynode/tests/relaychoicetest.cpp
+++ b/libs/gatewaynode/tests/relaychoicetest.cpp
@@ -144,7 +144,7 @@
                 nodeRevision = storeRevision; // From the store itself.
             } else if (const std::optional<RelayAnswer> answer =
                            history.changesAfter(now, nodeRevision)) {
-                ASSERT_FALSE(judgeAnswer(*answer, std::nullopt, nodeRevision, 1h)) << seed;
+                ASSERT_FALSE(validateAnswer(*answer, std::nullopt, nodeRevision, 1h)) << seed;
                 for (const MetadataEvent &event : answer->m_events) {
                     ASSERT_EQ(event.m_item.m_revision, ++nodeRevision) << seed;
                 }
--- a/libs/gatewaynode/tests/relayedstoretest.cpp
+++ b/libs/gatewaynode/tests/relayedstoretest.cpp
@@ -87,7 +87,7 @@
         m_store.completeWatch(MetadataStatus::Ok, {makeEvent("k", "v", 11)}, 11);
         ASSERT_EQ(m_results.size(), 1U);
         EXPECT_EQ(m_results[0].m_events.size(), 1U);
-        EXPECT_EQ(m_node->statistics().m_doubts, 1U);
+        EXPECT_EQ(m_node->statistics().m_rejectedAnswers, 1U);
     }
 
     boost::asio::io_context m_context;
@@ -133,7 +133,7 @@
 }
 
 // Guards against a node that is behind as its relay was killed.
-TEST_F(RelayedStoreTest, AKilledRelay)
+TEST_F(RelayedStoreTest, AsksTheStoreWhenTheRelayIsKilled)
 {
     begin();
     m_relay.reset();
@@ -141,7 +141,7 @@
 }
 
 // Guards against a node that waits for a relay that was paused.
-TEST_F(RelayedStoreTest, ASilentRelay)
+TEST_F(RelayedStoreTest, AsksTheStoreWhenTheRelayIsSilent)
 {
     Tcp::acceptor silent(m_context, Tcp::endpoint(Tcp::v4(), 0));
     followRelayAt(silent.local_endpoint().port());
@@ -151,7 +151,7 @@
 
 // Guards against a node that is behind as its relay cannot reach the store: a call that waits ends
 // as soon as the data is too old.
-TEST_F(RelayedStoreTest, ARelayThatIsCutOffFromTheStore)
+TEST_F(RelayedStoreTest, AsksTheStoreWhenTheRelayIsCutOffFromIt)
 {
     begin();
     m_relay->clear();
@@ -161,7 +161,7 @@
 
 // Guards against two delays that add up: a relay that was cut off from the store for a while and is
 // then silent.
-TEST_F(RelayedStoreTest, ASilentRelayWhoseDataWasOld)
+TEST_F(RelayedStoreTest, AsksTheStoreInTimeWhenTheDataOfASilentRelayWasOld)
 {
     constexpr std::chrono::milliseconds age{1'900};
     HttpServer once(m_context, HttpServerOptions{});
@@ -186,7 +186,7 @@
 }
 
 // Guards against changes that a restarted relay has missed.
-TEST_F(RelayedStoreTest, ARestartedRelay)
+TEST_F(RelayedStoreTest, AsksTheStoreWhenTheRelayHasRestarted)
 {
     begin();
     m_relay->clear();
@@ -194,7 +194,7 @@
 }
 
 // Guards against changes of a store before or after its restore that are applied to the other.
-TEST_F(RelayedStoreTest, ARelayInAnotherEra)
+TEST_F(RelayedStoreTest, AsksTheStoreWhenTheRelayIsInAnotherEra)
 {
     m_store.m_era = 1;
     m_relayEra = 2;
@@ -203,7 +203,7 @@
 }
 
 // Guards against an answer of another release or a faulty relay that is used in part.
-TEST_F(RelayedStoreTest, AnUnreadableReply)
+TEST_F(RelayedStoreTest, AsksTheStoreWhenTheReplyIsUnreadable)
 {
     HttpServer odd(m_context, HttpServerOptions{});
     odd.addRoute("GET", relayWatchPath,
@@ -219,7 +219,7 @@
 }
 
 // Guards against callers from elsewhere that read the store through a relay.
-TEST_F(RelayedStoreTest, AnUnregisteredCaller)
+TEST_F(RelayedStoreTest, RelayRefusesUnregisteredCallers)
 {
     begin();
     m_relay->setRegisteredAddresses({"10.0.0.1"});
