--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -54,7 +54,7 @@
     //! Of the connection, measured by the system during its handshake; empty if it is not known.
     std::optional<Duration> m_roundTrip;
     bool m_isFirst = false;    //!< The first request on its connection.
-    std::string m_peerAddress; //!< IP number of the caller; empty if it is not known.
+    std::string m_peerAddress; //!< IP address of the caller; empty if it is not known.
 
     //! @brief Value of a header, compared without regard to case; empty if it is absent.
     std::string_view header(std::string_view name) const;
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -50,7 +50,26 @@
     return nullptr;
 }
 
-//! @brief IP number of the peer; that of IPv4 also where the socket is one of IPv6.
+using Message = http::request<http::string_body>;
+
+//! @brief Returns the contents of a message, without what is known of its connection.
+HttpRequest makeRequest(Message message)
+{
+    HttpRequest request;
+    request.m_method = message.method_string();
+    const std::string_view target(message.target().data(), message.target().size());
+    request.m_target = target;
+    const std::size_t queryStart = std::min(target.find('?'), target.size());
+    request.m_path = target.substr(0, queryStart);
+    request.m_query = target.substr(std::min(queryStart + 1, target.size()));
+    for (const Message::header_type::fields_type::value_type &field : message) {
+        request.m_headers.emplace_back(field.name_string(), field.value());
+    }
+    request.m_body = std::move(message.body());
+    return request;
+}
+
+//! @brief IP address of the peer; one that is mapped into IPv6 is returned as IPv4.
 std::string peerAddress(const Tcp::socket &socket)
 {
     error_code error;
@@ -247,18 +266,7 @@
     ++state->m_statistics.m_hop.m_messages;
     Parser::value_type message = m_parser->release();
     m_keepAlive = message.keep_alive();
-    m_request = HttpRequest{};
-    m_request.m_method = message.method_string();
-    const std::string_view target(message.target().data(), message.target().size());
-    m_request.m_target = target;
-    const std::size_t queryStart = std::min(target.find('?'), target.size());
-    m_request.m_path = target.substr(0, queryStart);
-    m_request.m_query = target.substr(std::min(queryStart + 1, target.size()));
-    for (const Parser::value_type::header_type::fields_type::value_type &field : message) {
-        m_request.m_headers.emplace_back(field.name_string(), field.value());
-    }
-    m_request.m_body = std::move(message.body());
-
+    m_request = makeRequest(std::move(message));
     const std::uint64_t exchange = ++state->m_lastExchange;
     m_request.m_exchange = exchange;
     m_request.m_roundTrip = m_roundTrip;
