--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -126,6 +126,7 @@
 void addOrganisation(RoutingTable &table, const Organisation &organisation,
                      std::span<const std::string> keys);
 
+//! @brief Whether the caller of a request is known.
 enum class CallerStatus {
     Anonymous,   //!< No organisation; the request may be forwarded.
     Identified,  //!< The request has the key of an organisation.
@@ -386,8 +387,13 @@
     std::array<Bucket, bucketCount> m_buckets{};
 };
 
+//! @brief Counts the first attempt of a request.
+//! @param priority of the request, 0 is the highest.
 void recordFirstAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
                         int priority = 0);
+
+//! @brief Counts a retry or a hedge.
+//! @param priority of the request, 0 is the highest.
 void recordExtraAttempt(RetryBudget &budget, const RetryBudgetLimits &limits, TimePoint now,
                         int priority = 0);
 
--- a/libs/peer/include/peer/peer.h
+++ b/libs/peer/include/peer/peer.h
@@ -72,7 +72,10 @@
 public:
     GossipSocket(boost::asio::io_context &context, GossipHandler handler);
 
+    //! @brief Binds the socket and starts to receive, like DatagramSocket::open().
     std::uint16_t open(const std::string &address, std::uint16_t port, std::string &error);
+
+    //! @brief Sends a message without waiting; a failure is only counted in the statistics.
     void send(const std::string &address, std::uint16_t port, const GossipMessage &message);
     void close();
 
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -87,8 +87,13 @@
     std::variant<QuotaReport, QuotaReply> m_content;
 };
 
+//! @brief Encodes a datagram with a report, after a byte with the version of the format.
 std::string encodeQuota(std::string_view sender, const QuotaReport &report);
+
+//! @brief Encodes a datagram with a reply, after a byte with the version of the format.
 std::string encodeQuota(std::string_view sender, const QuotaReply &reply);
+
+//! @brief Decodes a datagram with a report or a reply.
 Decoded<QuotaMessage> decodeQuota(std::string_view bytes);
 
 //! @brief Header of a frame: the length of its body, big-endian.
