--- a/libs/gatewaynode/src/quotaservice.cpp
+++ b/libs/gatewaynode/src/quotaservice.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+// Time between attempts to bind the port of the link.
 constexpr Duration openRetryInterval = std::chrono::seconds(1);
 
 // A new node has read the registrations, its own among them, within this time if the store works.
