Show that a request which crashes servers is cleared by that of another caller

Cause: the fingerprint of a request does not contain its caller, so that the success of one organisation clears the crashes that the same path and body of another one cause.

Change: case 10 of the review; the callers of the doubles can send a key. No code of the product changes.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case-2" 10
--- a/review/standins-2/node.cpp
+++ b/review/standins-2/node.cpp
@@ -190,6 +190,9 @@
     std::string text = request.m_method + " " + request.m_path + " HTTP/1.1\r\nHost: " + host
                        + "\r\nX-Attempt-Id: " + id
                        + "\r\nX-Deadline-Ms: " + std::to_string(request.m_deadlineMilliseconds);
+    if (!request.m_key.empty()) {
+        text += "\r\nAuthorization: Token " + request.m_key;
+    }
     if (request.m_method != "GET") {
         text += "\r\nContent-Length: " + std::to_string(request.m_body.size());
     }
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -291,6 +291,7 @@
     std::string m_path;
     std::string m_body;
     int m_deadlineMilliseconds = 1500;
+    std::string m_key{}; //!< Of the caller's tenant; empty for none.
 };
 
 inline constexpr const char *host = "search.example";
