--- a/review/standins-2/node.cpp
+++ b/review/standins-2/node.cpp
@@ -209,6 +209,7 @@
 Outcome Caller::send(const CallerRequest &request)
 {
     Outcome outcome;
+    outcome.m_sentAt = secondsNow();
     const std::optional<std::string> id = write(request);
     if (!id) {
         return outcome;
@@ -219,6 +220,7 @@
     if (!answer) {
         m_connection.reset();
     } else {
+        outcome.m_answeredAt = secondsNow();
         outcome.m_status = answer->status();
         outcome.m_answer = *answer;
         if (answer->header("connection") == "close") {
--- a/review/standins-2/server.cpp
+++ b/review/standins-2/server.cpp
@@ -43,7 +43,7 @@
     const bool isOpen = m_listener->open(
         "127.0.0.1", 0, [this](const ConnectionPointer &connection) { serve(connection); });
     if (isOpen) {
-        registerReady();
+        reportState("ready");
     }
     return isOpen;
 }
@@ -56,7 +56,7 @@
     }
 }
 
-void Server::registerReady()
+void Server::reportState(std::string_view state)
 {
     m_store.put("servers/" + m_id,
                 json::object{{"service", m_service},
@@ -64,7 +64,7 @@
                              {"zone", m_zone},
                              {"version", "1"},
                              {"concurrency", slotsOfServer},
-                             {"state", "ready"},
+                             {"state", state},
                              {"warmupLeftMs", 0},
                              {"sequence", ++m_sequence},
                              {"born", m_started}});
@@ -81,11 +81,12 @@
     return m_arrivals;
 }
 
-std::string Server::success(const Arrival &arrival, std::string_view body) const
+std::string Server::success(const Arrival &arrival, std::string_view body,
+                            std::string_view headers) const
 {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + arrival.m_id + "\r\nX-Server-Stamp: " + m_id + "."
-           + arrival.m_id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-           + std::string(body);
+           + arrival.m_id + "\r\n" + std::string(headers)
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
 void Server::serve(const ConnectionPointer &connection)
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -209,7 +209,9 @@
     void crash();
     //! @brief A new process with the same id and a new address registers itself.
     bool restart();
-    void registerReady();
+    //! @brief Writes the entry again; returns once the store has accepted it.
+    //! @param state "ready" or "draining".
+    void reportState(std::string_view state);
     void removeEntry();
     std::vector<Arrival> arrivals() const;
     const std::string &id() const
@@ -217,7 +219,9 @@
         return m_id;
     }
     //! @brief The answer of a server that has run the request.
-    std::string success(const Arrival &arrival, std::string_view body) const;
+    //! @param headers further lines of the head, each with its line end.
+    std::string success(const Arrival &arrival, std::string_view body,
+                        std::string_view headers = {}) const;
 
 private:
     void serve(const ConnectionPointer &connection);
@@ -281,6 +285,8 @@
 struct Outcome
 {
     std::string m_id;
+    double m_sentAt = 0.0;
+    double m_answeredAt = 0.0;
     int m_status = 0; //!< 0: the connection ended, or there was no answer in time.
     Message m_answer;
 };
