Send nothing to a target that says in a reply that it is leaving

What callers saw: a node that is cut off from the store went on sending to a server that had said Server-Leaving in its answers, until that server was gone; what it had in work then was lost.

Cause: the header was passed on to the caller and not read; the registry was the only source for the state of a target. Beside it, connections were kept by the id of a target, so that requests for a new process of an id went over connections to the earlier one.

Change: any reply may mark its process as leaving: successes, errors, refusals, parts of searches and replies that come late. 421 speaks for the other process at that address. The mark is kept by process, also after the target was erased; another process with the id starts without it. Connections are kept by process.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/base.h"
@@ -192,6 +193,7 @@
 {
     TargetEntry m_entry;
     bool m_addressReused = false;   //!< Another process now uses its address.
+    bool m_isLeaving = false;       //!< Its process has said in a reply that it is leaving.
     bool m_removed = false;         //!< No longer in the registry.
     TimePoint m_removalEffectiveAt; //!< For removed targets.
     TimePoint m_warmupEnd;          //!< The target may be slower before this time.
@@ -229,10 +231,16 @@
     //! while after its removal, and this node may not notice a short store outage.
     static constexpr Duration removalGracePeriod = std::chrono::seconds(2);
 
+    static constexpr std::size_t maximumLeavingProcesses = 10'000;
+
     std::string m_node;                                       //!< Name of this node.
     std::unordered_map<std::string, TargetPointer> m_targets; //!< By id.
     std::unordered_map<std::string, std::vector<TargetPointer>> m_targetsByService;
     std::set<std::string> m_evacuatedDataCentres;
+    //! Numbers of processes that are leaving. Kept after their targets are erased: a late entry of
+    //! such a process must not bring it back.
+    std::unordered_set<std::uint64_t> m_leavingProcesses;
+    std::deque<std::uint64_t> m_leavingProcessesByTime; //!< Oldest first.
     bool m_storeUnavailable = false;
     TimePoint m_storeRecoveryGraceEnd; //!< Earliest end of use after a removal.
 };
@@ -251,6 +259,15 @@
 std::vector<std::string> removeMissingEntries(TargetRegistry &registry, TimePoint now,
                                               std::span<const std::string> present);
 
+//! @brief Stops new requests to the process of a target, as it has said that it is leaving. Unlike
+//! a registry entry, which another one may replace, this holds until another process has the id.
+//! @return false if that is known already.
+bool markLeaving(TargetRegistry &registry, Target &target);
+
+//! @brief Returns the latest target at the address of the given one, apart from that one; null if
+//! there is none.
+TargetPointer findOtherTargetAtAddress(const TargetRegistry &registry, const Target &target);
+
 //! @brief Suspends removals, except those of draining targets, during a store outage.
 void markStoreUnavailable(TargetRegistry &registry);
 
@@ -551,6 +568,7 @@
     std::string m_receipt;                 //!< Proof that the target ran the request, or empty.
     std::optional<std::string> m_echoedId; //!< Request id echoed by the target.
     bool m_notExecuted = false;            //!< The target states that it did not run the request.
+    bool m_isLeaving = false;              //!< The target states that it is leaving.
     HttpHeaders m_headers;                 //!< Returned to the caller.
 };
 
@@ -673,6 +691,7 @@
     std::uint64_t m_mismatches = 0; //!< Replies to a different request.
     std::uint64_t m_callerDisconnects = 0;
     std::uint64_t m_probes = 0;
+    std::uint64_t m_leavingTargets = 0; //!< Processes that said in a reply that they are leaving.
     std::uint64_t m_crashes = 0;        //!< Attributed to requests, by this node.
     std::uint64_t m_clearedCrashes = 0; //!< Of those, and of other nodes, by an answer.
     std::uint64_t m_acceptedInShutdown = 0;
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -150,6 +150,14 @@
     void recordRemoteContact(TimePoint now, const Target &target, bool connected);
     bool isIsolated(TimePoint now) const;
 
+    // What targets say of themselves (targetnotices.cpp)
+    //! @brief Heeds what a reply says of the process that sent it.
+    //! @param isOtherProcess the reply is of another process at the address of the attempt's
+    //! target.
+    void recordNotices(TimePoint now, const Attempt &attempt, const TargetReply &reply,
+                       bool isOtherProcess);
+    void recordLeaving(TimePoint now, const Attempt &attempt, Target &target);
+
     // Crashes of targets (crashattribution.cpp)
     void recordLostRequest(TimePoint now, const Attempt &attempt);
     void recordCrashes(TimePoint now, Target &target);
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -125,6 +125,7 @@
         recordConnectFailure(now, *attempt.m_target);
     }
     updateTargetStatistics(attempt, now, result);
+    recordNotices(now, attempt, reply, result.m_outcome == AttemptOutcome::WrongTarget);
     recordRemoteContact(now, *attempt.m_target, result.m_outcome != AttemptOutcome::NotDelivered);
     if (result.m_outcome == AttemptOutcome::Success) {
         recordRouteLatency(*attempt.m_routeLatency, now - attempt.m_sentAt);
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "forwarding/forwarding.h"
 
@@ -16,13 +17,17 @@
     }
 }
 
+bool hasSameAddress(const TargetEntry &left, const TargetEntry &right)
+{
+    return left.m_port == right.m_port && left.m_address == right.m_address;
+}
+
 //! @brief Marks targets whose address is now used by a process that started later.
 void markReusedAddresses(TargetRegistry &registry, const TargetEntry &entry)
 {
     for (const std::pair<const std::string, TargetPointer> &other : registry.m_targets) {
         const TargetEntry &known = other.second->m_entry;
-        if (known.m_port == entry.m_port && known.m_address == entry.m_address
-            && known.m_started < entry.m_started) {
+        if (hasSameAddress(known, entry) && known.m_started < entry.m_started) {
             other.second->m_addressReused = true;
         }
     }
@@ -35,6 +40,7 @@
     target->m_entry = entry;
     target->m_warmupEnd = now + entry.m_warmupRemaining;
     target->m_evacuated = registry.m_evacuatedDataCentres.contains(entry.m_dataCentre);
+    target->m_isLeaving = registry.m_leavingProcesses.contains(processNumber(entry));
     target->m_tieBreaker = static_cast<double>(rendezvousWeight(registry.m_node, entry.m_id))
                            / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
     registry.m_targets[entry.m_id] = target;
@@ -45,7 +51,7 @@
 bool isSameProcess(const TargetEntry &left, const TargetEntry &right)
 {
     return left.m_started == right.m_started && left.m_service == right.m_service
-           && left.m_address == right.m_address && left.m_port == right.m_port;
+           && hasSameAddress(left, right);
 }
 
 //! @brief True if the target has written its entry again. A repeated listing of the same entry must
@@ -122,6 +128,36 @@
     return removed;
 }
 
+bool markLeaving(TargetRegistry &registry, Target &target)
+{
+    if (std::exchange(target.m_isLeaving, true)) {
+        return false;
+    }
+    const std::uint64_t process = processNumber(target.m_entry);
+    if (!registry.m_leavingProcesses.insert(process).second) {
+        return true;
+    }
+    registry.m_leavingProcessesByTime.push_back(process);
+    if (registry.m_leavingProcessesByTime.size() > TargetRegistry::maximumLeavingProcesses) {
+        registry.m_leavingProcesses.erase(registry.m_leavingProcessesByTime.front());
+        registry.m_leavingProcessesByTime.pop_front();
+    }
+    return true;
+}
+
+TargetPointer findOtherTargetAtAddress(const TargetRegistry &registry, const Target &target)
+{
+    TargetPointer latest;
+    for (const std::pair<const std::string, TargetPointer> &item : registry.m_targets) {
+        const TargetPointer &other = item.second;
+        const bool isLater = !latest || other->m_entry.m_started > latest->m_entry.m_started;
+        if (other.get() != &target && hasSameAddress(other->m_entry, target.m_entry) && isLater) {
+            latest = other;
+        }
+    }
+    return latest;
+}
+
 void markStoreUnavailable(TargetRegistry &registry)
 {
     registry.m_storeUnavailable = true;
@@ -165,7 +201,7 @@
 bool acceptsRequests(const Target &target, TimePoint now)
 {
     return !target.m_evacuated && !target.m_addressReused && !target.m_entry.m_draining
-           && (!target.m_removed || now < target.m_removalEffectiveAt);
+           && !target.m_isLeaving && (!target.m_removed || now < target.m_removalEffectiveAt);
 }
 
 void purgeRemovedTargets(TargetRegistry &registry, TimePoint now)
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -139,6 +139,7 @@
     std::string m_expectedTarget; //!< Id of the target that the attempt is addressed to.
     std::string m_receipt;        //!< In replies of targets that executed the request.
     std::string m_notExecuted;    //!< In replies of targets that did not execute the request.
+    std::string m_targetLeaving;  //!< In all replies of a target that is leaving.
     std::string m_shardReceipts;  //!< Receipts of all shards in a search response.
     std::string m_missingShards;  //!< Count of shards missing from a search response.
     std::string m_organisation;   //!< Name of the caller's organisation, set for targets.
--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -267,6 +267,8 @@
             reply.m_echoedId = header.second;
         } else if (iequals(header.first, headers.m_notExecuted)) {
             reply.m_notExecuted = true;
+        } else if (iequals(header.first, headers.m_targetLeaving)) {
+            reply.m_isLeaving = reply.m_isLeaving || header.second != "0";
         }
         if (!isHopByHop(header.first, connectionHeader)) {
             reply.m_headers.push_back(header);
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -88,6 +88,14 @@
     return {boost::asio::ip::make_address(entry.m_address, ignored), entry.m_port};
 }
 
+//! @brief Names the connections to the process of a target. A process that starts under the id of
+//! another one gets no requests over the connections of that one.
+std::string connectionKey(const TargetEntry &entry)
+{
+    return entry.m_id + '@' + entry.m_address + ':' + std::to_string(entry.m_port) + '/'
+           + std::to_string(entry.m_started);
+}
+
 //! @brief Returns what this node is registered with; nothing without a link.
 std::optional<RegisteredNode> ownRegistration(const GatewaySettings &settings,
                                               const CoordinationSettings &coordination)
@@ -302,7 +310,7 @@
     serializeAttempt(m_attemptBuffer, command, m_format.m_headers);
     ForwardAttempt attempt;
     attempt.m_attempt = command.m_attempt;
-    attempt.m_target = entry.m_id;
+    attempt.m_target = connectionKey(entry);
     attempt.m_endpoint = endpointOf(entry);
     attempt.m_text = m_attemptBuffer;
     attempt.m_idempotent = command.m_idempotent;
@@ -332,7 +340,7 @@
 
 void GatewayNode::Implementation::probe(const TargetPointer &target)
 {
-    m_client.probe(target->m_entry.m_id, endpointOf(target->m_entry),
+    m_client.probe(connectionKey(target->m_entry), endpointOf(target->m_entry),
                    [this, target](bool connected) {
                        m_log.write(LogLevel::Info, "target-probed", "",
                                    {{"target", target->m_entry.m_id}, {"connected", connected}});
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -35,6 +35,8 @@
             engine.m_callerDisconnects);
     counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
             engine.m_probes);
+    counter("arbutusgrade_targets_leaving_total", "Targets that said in a reply that they leave",
+            engine.m_leavingTargets);
     counter("arbutusgrade_crashes_total", "Crashes of targets attributed to requests",
             engine.m_crashes);
     counter("arbutusgrade_crashes_cleared_total", "Shared crashes cleared by an answer",
--- a/libs/gatewaynode/tests/callerrequeststest.cpp
+++ b/libs/gatewaynode/tests/callerrequeststest.cpp
@@ -10,8 +10,8 @@
 
 ForwardHeaders testHeaders()
 {
-    return ForwardHeaders{"X-Id",      "X-Time",  "X-Target", "X-Receipt",
-                          "X-Not-Run", "X-Parts", "X-Lacks",  "X-Org"};
+    return ForwardHeaders{"X-Id",      "X-Time",  "X-Target", "X-Receipt", "X-Not-Run",
+                          "X-Leaving", "X-Parts", "X-Lacks",  "X-Org"};
 }
 
 HttpRequest makeRequest(const HttpHeaders &headers)
@@ -208,6 +208,21 @@
     }
 }
 
+// Guards against a target that says that it is leaving and is not understood, in any spelling of
+// the header, and against a caller that no longer gets the header.
+TEST(CallerRequests, ReadsThatATargetIsLeavingAndPassesItOn)
+{
+    ReplyContent content;
+    content.m_status = 503;
+    EXPECT_FALSE(parseTargetReply(content, testHeaders()).m_isLeaving);
+    content.m_headers = {{"x-LEAVING", "1"}};
+    const TargetReply reply = parseTargetReply(content, testHeaders());
+    EXPECT_TRUE(reply.m_isLeaving);
+    EXPECT_EQ(reply.m_headers, content.m_headers);
+    content.m_headers = {{"X-Leaving", "0"}};
+    EXPECT_FALSE(parseTargetReply(content, testHeaders()).m_isLeaving);
+}
+
 // Guards against a deployment without organisations whose callers lose their headers, and against a
 // 401 where the engine answers 404 or 503.
 TEST(CallerRequests, LeavesOtherRequestsAsTheyAre)
--- a/libs/gatewaynode/tests/gatewaynodetest.cpp
+++ b/libs/gatewaynode/tests/gatewaynodetest.cpp
@@ -59,8 +59,8 @@
 DeploymentFormat testFormat(const HttpServer &targetServer)
 {
     DeploymentFormat format;
-    format.m_headers = {"X-Id",      "X-Time",  "X-Target", "X-Receipt",
-                        "X-Not-Run", "X-Parts", "X-Lacks",  "X-Org"};
+    format.m_headers = {"X-Id",      "X-Time",  "X-Target", "X-Receipt", "X-Not-Run",
+                        "X-Leaving", "X-Parts", "X-Lacks",  "X-Org"};
     format.m_readinessPath = "/ready";
     format.m_configurationKey = "config";
     format.m_targetPrefix = "targets/";
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -268,7 +268,7 @@
 struct ForwardAttempt
 {
     std::uint64_t m_attempt = 0; //!< Unique; never reused.
-    std::string m_target;
+    std::string m_target;        //!< Attempts with the same text share connections.
     asio::ip::tcp::endpoint m_endpoint;
     std::string_view m_text;  //!< Head and body; not used after the call.
     bool m_idempotent = true; //!< False: uses no kept connection on which bytes wait.
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -219,12 +219,25 @@
             const std::shared_ptr<Implementation> self = weak.lock();
             const LinkPointer closed = weakLink.lock();
             if (self && closed) {
-                std::erase(self->m_idle[closed->m_target], closed);
+                self->removeIdle(closed);
                 self->close(closed);
             }
         });
     }
 
+    void removeIdle(const LinkPointer &link)
+    {
+        const std::unordered_map<std::string, std::vector<LinkPointer>>::iterator found =
+            m_idle.find(link->m_target);
+        if (found == m_idle.end()) {
+            return;
+        }
+        std::erase(found->second, link);
+        if (found->second.empty()) {
+            m_idle.erase(found);
+        }
+    }
+
     void exchange(std::uint64_t id, std::string_view text, bool expectNoBody)
     {
         m_flights[id].m_link->m_connection->exchange(
