Apply the limits in force to connections that have waited

Cause: the server took the size limits, and the end of the idle time, when a connection began to wait for its next request, and used them whenever that came.

Change: the size limits are set when a request begins. A waiting connection keeps the time since which it waits, and the idle timeout in force is added to it at each check.

--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -135,7 +135,8 @@
     //! @brief Applies to requests that start later.
     void setBodyLimit(std::uint32_t bytes);
 
-    //! @brief Replaces limits and timeouts; applies to requests that start later.
+    //! @brief Replaces limits and timeouts. They apply to requests that start later, also on
+    //! connections that are waiting, and to the time that these have waited.
     void setOptions(const HttpServerOptions &options);
 
     //! @brief Makes responses close their connection from now on, so that callers move elsewhere.
--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -78,6 +78,8 @@
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     bool hasUnreadRequest();
+    void checkIdleTime(TimePoint now);
+    void applySizeLimits(const HttpServerOptions &options);
     void waitForRequest();
     void startReading();
     void handleHeader(boost::system::error_code error);
@@ -101,7 +103,8 @@
     std::optional<Response> m_response;
     HttpRequest m_request;
     Phase m_phase = Phase::Idle;
-    TimePoint m_deadline = farFuture;
+    TimePoint m_deadline = farFuture; //!< Of all phases but the idle one.
+    TimePoint m_idleSince;            //!< In the idle phase.
     std::uint64_t m_requestNumber = 0;
     //! Measured during the handshake: later measurements include delayed acknowledgements.
     std::optional<Duration> m_roundTrip;
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -109,6 +109,10 @@
 
 void HttpSession::checkDeadline(TimePoint now)
 {
+    if (m_phase == Phase::Idle) {
+        checkIdleTime(now);
+        return;
+    }
     if (now < m_deadline) {
         return;
     }
@@ -123,6 +127,15 @@
     close();
 }
 
+void HttpSession::checkIdleTime(TimePoint now)
+{
+    const std::shared_ptr<HttpServerState> state = m_state.lock();
+    // The timeout in force may have changed since the connection began to wait.
+    if (!state || now >= m_idleSince + state->m_options.m_idleTimeout) {
+        endIdle();
+    }
+}
+
 void HttpSession::endIdle()
 {
     if (m_phase != Phase::Idle) {
@@ -172,13 +185,8 @@
         return;
     }
     m_phase = Phase::Idle;
-    m_deadline = steadyNow() + state->m_options.m_idleTimeout;
+    m_idleSince = steadyNow();
     m_parser.emplace();
-    m_parser->header_limit(state->m_options.m_headerLimitBytes);
-    m_parser->body_limit(state->m_options.m_bodyLimitBytes);
-    // The parser has no limit of its own for the framing of chunks and for trailers.
-    m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), framingLimitBytes)
-                      + state->m_options.m_headerLimitBytes + state->m_options.m_bodyLimitBytes);
     if (m_buffer.size() > 0) {
         startReading();
         return;
@@ -195,6 +203,15 @@
     });
 }
 
+void HttpSession::applySizeLimits(const HttpServerOptions &options)
+{
+    m_parser->header_limit(options.m_headerLimitBytes);
+    m_parser->body_limit(options.m_bodyLimitBytes);
+    // The parser has no limit of its own for the framing of chunks and for trailers.
+    m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), framingLimitBytes)
+                      + options.m_headerLimitBytes + options.m_bodyLimitBytes);
+}
+
 void HttpSession::startReading()
 {
     const std::shared_ptr<HttpServerState> state = m_state.lock();
@@ -205,6 +222,8 @@
     m_phase = Phase::Reading;
     m_request = HttpRequest{};
     m_timedOut = false;
+    // Limits are those in force when a request begins, however long its connection has waited.
+    applySizeLimits(state->m_options);
     m_deadline = steadyNow() + state->m_options.m_readTimeout;
     http::async_read_header(m_socket, m_buffer, *m_parser,
                             [self = shared_from_this()](error_code error, std::size_t bytes) {
--- a/libs/transport/tests/httpservertest.cpp
+++ b/libs/transport/tests/httpservertest.cpp
@@ -138,6 +138,60 @@
     expectStillServing();
 }
 
+// Guards against a connection that keeps the size limits which were in force when it began to wait:
+// proper requests would get 413 after the limits were raised, and larger ones than allowed would be
+// read after they were lowered.
+TEST_F(HttpServerTest, AppliesTheSizeLimitsInForceToAWaitingConnection)
+{
+    const std::string body(4000, 'b');
+    const std::string largeBody =
+        "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 4000\r\n\r\n" + body;
+    const std::string largeHead = "POST /echo HTTP/1.1\r\nHost: x\r\nX-Long: "
+                                  + std::string(30'000, 'h') + "\r\nContent-Length: 2\r\n\r\nok";
+    RawClient unused(m_context, m_server.port());
+    RawClient used(m_context, m_server.port());
+    used.send("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nfirst");
+    ASSERT_TRUE(runUntil(m_context, [&] { return used.received("first"); }));
+    runFor(m_context, std::chrono::milliseconds(20));
+    HttpServerOptions options = quickOptions();
+    options.m_bodyLimitBytes = 8000;
+    options.m_headerLimitBytes = 64 * 1024;
+    m_server.setOptions(options);
+    for (RawClient *client : {&unused, &used}) {
+        client->send(largeBody);
+        EXPECT_TRUE(runUntil(m_context, [&] { return client->received(body); })) << client->text();
+        client->send(largeHead);
+        EXPECT_TRUE(runUntil(m_context, [&] { return client->received("ok"); })) << client->text();
+    }
+    runFor(m_context, std::chrono::milliseconds(20));
+    m_server.setOptions(quickOptions());
+    unused.send(largeHead);
+    used.send(largeBody);
+    for (const RawClient *client : {&unused, &used}) {
+        EXPECT_TRUE(runUntil(m_context, [&] { return client->received("HTTP/1.1 413"); }));
+    }
+}
+
+// Guards against an idle connection that is closed by an idle timeout which is no longer in force,
+// and against one that outlives a shorter one.
+TEST_F(HttpServerTest, AppliesTheIdleTimeoutInForceToAWaitingConnection)
+{
+    HttpServerOptions options = quickOptions();
+    options.m_idleTimeout = Duration(200'000);
+    m_server.setOptions(options);
+    RawClient client(m_context, m_server.port());
+    client.send("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(runUntil(m_context, [&] { return client.received("ok"); }));
+    options.m_idleTimeout = Duration(2'000'000);
+    m_server.setOptions(options);
+    runFor(m_context, std::chrono::milliseconds(700));
+    EXPECT_FALSE(client.isClosed());
+    options.m_idleTimeout = Duration(200'000);
+    m_server.setOptions(options);
+    EXPECT_TRUE(runUntil(
+        m_context, [&] { return client.isClosed(); }, std::chrono::milliseconds(1000)));
+}
+
 // Guards against slow senders that hold a connection and its buffers for ever.
 TEST_F(HttpServerTest, AnswersSlowRequestWith408)
 {
