Let a removal that is learnt of late take effect within the drain bound

What callers saw: with the relay of a data centre cut off from the store, nodes that reach the store sent requests to a removed target until 3.6 to 3.9 s after its removal, where drainMs is 3 s.

Cause: data of a relay may be 1.875 s old, and the grace period of 2 s began when a node heard of the removal. Nothing set the two against each other or against drainMs.

Change: pages and changes of the store say after which time they were made. A removal takes effect 2 s after a node learns of it, but not later than the drain bound, less 250 ms, after that time; it applies to answers of relays, to the store's after a relay failed, and to listings. The grace after a noticed outage of the store is as before.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -231,9 +231,14 @@
     //! while after its removal, and this node may not notice a short store outage.
     static constexpr Duration removalGracePeriod = std::chrono::seconds(2);
 
+    //! Part of the drain bound that is left for requests on their way to a target.
+    static constexpr Duration removalMargin = std::chrono::milliseconds(250);
+
     static constexpr std::size_t maximumLeavingProcesses = 10'000;
 
-    std::string m_node;                                       //!< Name of this node.
+    std::string m_node; //!< Name of this node.
+    //! Time after its removal in which a target may get requests; empty: no limit.
+    std::optional<Duration> m_drainBound;
     std::unordered_map<std::string, TargetPointer> m_targets; //!< By id.
     std::unordered_map<std::string, std::vector<TargetPointer>> m_targetsByService;
     std::set<std::string> m_evacuatedDataCentres;
@@ -251,13 +256,20 @@
 EntryChange applyEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry);
 
 //! @brief Marks a target as removed. Also used for entries that can no longer be decoded.
+//!
+//! The later this node learns of a removal, the sooner it takes effect, so that both delays
+//! together stay within the drain bound.
+//! @param removedAfter time at which the entry was known to be in the registry; empty: just now.
 //! @return false if the target is unknown or already removed.
-bool removeEntry(TargetRegistry &registry, TimePoint now, std::string_view id);
+bool removeEntry(TargetRegistry &registry, TimePoint now, std::string_view id,
+                 std::optional<TimePoint> removedAfter = std::nullopt);
 
 //! @brief Removes all targets that are missing from a complete listing of the registry.
+//! @param removedAfter as for removeEntry().
 //! @return the ids of the removed targets.
 std::vector<std::string> removeMissingEntries(TargetRegistry &registry, TimePoint now,
-                                              std::span<const std::string> present);
+                                              std::span<const std::string> present,
+                                              std::optional<TimePoint> removedAfter = std::nullopt);
 
 //! @brief Stops new requests to the process of a target, as it has said that it is leaving. Unlike
 //! a registry entry, which another one may replace, this holds until another process has the id.
@@ -675,6 +687,7 @@
     std::string m_dataCentre;
     RetryBudgetLimits m_budget;
     std::optional<WarmupTolerance> m_warmup; //!< Absent: cold targets have no limit.
+    std::optional<Duration> m_drainBound;    //!< See TargetRegistry::m_drainBound.
 };
 
 struct ForwardStatistics
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -115,6 +115,7 @@
         : m_options(options), m_startedAt(now), m_output(output)
     {
         m_registry.m_node = options.m_node;
+        m_registry.m_drainBound = options.m_drainBound;
     }
 
     // Submission and timers (engine.cpp)
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -62,6 +62,19 @@
            || entry.m_warmupRemaining != known.m_warmupRemaining;
 }
 
+//! @brief Returns when a removal takes effect that this node learns of now.
+TimePoint removalTime(const TargetRegistry &registry, TimePoint now,
+                      std::optional<TimePoint> removedAfter)
+{
+    TimePoint time = now + TargetRegistry::removalGracePeriod;
+    if (registry.m_drainBound && removedAfter) {
+        const TimePoint latest =
+            *removedAfter + *registry.m_drainBound - TargetRegistry::removalMargin;
+        time = std::clamp(latest, now, time);
+    }
+    return std::max(time, registry.m_storeRecoveryGraceEnd);
+}
+
 } // namespace
 
 EntryChange applyEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
@@ -95,7 +108,8 @@
     return startsDraining ? EntryChange::Draining : EntryChange::Changed;
 }
 
-bool removeEntry(TargetRegistry &registry, TimePoint now, std::string_view id)
+bool removeEntry(TargetRegistry &registry, TimePoint now, std::string_view id,
+                 std::optional<TimePoint> removedAfter)
 {
     const std::unordered_map<std::string, TargetPointer>::iterator found =
         registry.m_targets.find(std::string(id));
@@ -108,15 +122,15 @@
     } else if (registry.m_storeUnavailable) {
         target.m_removalEffectiveAt = farFuture;
     } else {
-        target.m_removalEffectiveAt =
-            std::max(now + TargetRegistry::removalGracePeriod, registry.m_storeRecoveryGraceEnd);
+        target.m_removalEffectiveAt = removalTime(registry, now, removedAfter);
     }
     target.m_removed = true;
     return true;
 }
 
 std::vector<std::string> removeMissingEntries(TargetRegistry &registry, TimePoint now,
-                                              std::span<const std::string> present)
+                                              std::span<const std::string> present,
+                                              std::optional<TimePoint> removedAfter)
 {
     std::vector<std::string> removed;
     for (const std::pair<const std::string, TargetPointer> &target : registry.m_targets) {
@@ -124,7 +138,9 @@
             removed.push_back(target.first);
         }
     }
-    std::erase_if(removed, [&](const std::string &id) { return !removeEntry(registry, now, id); });
+    std::erase_if(removed, [&](const std::string &id) {
+        return !removeEntry(registry, now, id, removedAfter);
+    });
     return removed;
 }
 
--- a/libs/forwarding/tests/registrytest.cpp
+++ b/libs/forwarding/tests/registrytest.cpp
@@ -96,4 +96,40 @@
     EXPECT_TRUE(removeMissingEntries(registry, start, present).empty());
 }
 
+// Guards against two delays that add up: a node that learns late of a removal and then keeps the
+// target for the whole grace period sends requests to it after the drain bound.
+TEST(Registry, ALateRemovalTakesEffectWithinTheDrainBound)
+{
+    constexpr Duration drainBound = 3s;
+    constexpr Duration latest = drainBound - TargetRegistry::removalMargin;
+    TargetRegistry registry;
+    registry.m_drainBound = drainBound;
+    for (const Duration age : {0s, 1s, 2s, 10s}) {
+        const TimePoint learnt = start + age;
+        applyEntry(registry, start, createEntry("t"));
+        removeEntry(registry, learnt, "t", start);
+        const TimePoint end =
+            std::max(learnt, start + std::min(age + TargetRegistry::removalGracePeriod, latest));
+        EXPECT_TRUE(acceptsRequests(*registry.m_targets["t"], end - 1us));
+        EXPECT_FALSE(acceptsRequests(*registry.m_targets["t"], end)) << age.count();
+        applyEntry(registry, end, createEntry("t"));
+        removeMissingEntries(registry, learnt, {}, start);
+        EXPECT_FALSE(acceptsRequests(*registry.m_targets["t"], end)) << age.count();
+    }
+}
+
+// Guards against losing all targets, as their entries expired in an outage of the store, on a node
+// whose data is old because of the same outage.
+TEST(Registry, AStoreOutageKeepsTargetsBeyondTheDrainBound)
+{
+    TargetRegistry registry;
+    registry.m_drainBound = 3s;
+    applyEntry(registry, start, createEntry("t"));
+    markStoreUnavailable(registry);
+    markStoreAvailable(registry, start + 20s);
+    removeEntry(registry, start + 20s, "t", start);
+    EXPECT_TRUE(acceptsRequests(*registry.m_targets["t"], start + 22s));
+    EXPECT_FALSE(acceptsRequests(*registry.m_targets["t"], start + 23s));
+}
+
 } // namespace arbutusgrade
--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -57,6 +57,9 @@
     bool m_hasMore = false;
     std::uint64_t m_storeRevision = 0;
     StoreEra m_era;
+    //! When this node's data was last current: what differs from it changed later. Empty if that is
+    //! not known.
+    std::optional<TimePoint> m_changedAfter = std::nullopt;
 };
 
 //! @brief Result of a watch.
@@ -67,6 +70,8 @@
     std::uint64_t m_storeRevision = 0;
     StoreEra m_era;
     bool m_isRelayed = false; //!< By another node, not by a call of the store.
+    //! The changes were made after this time. Empty if that is not known.
+    std::optional<TimePoint> m_changedAfter = std::nullopt;
 };
 
 struct MetadataLease
--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,13 @@
         return m_revision;
     }
 
+    //! @brief The items or changes that are being reported differ from earlier ones by what was
+    //! changed after this time. Empty if that is not known.
+    std::optional<TimePoint> changedAfter() const
+    {
+        return m_changedAfter;
+    }
+
     //! @brief Stops watching. No handler is called afterwards.
     void stop();
 
@@ -78,6 +86,7 @@
     std::vector<MetadataItem> m_items;  //!< Pages of the listing in progress.
     std::uint64_t m_oldestRevision = 0; //!< Of the pages, which may have different revisions.
     ReadConsistency m_consistency = ReadConsistency::Strong;
+    std::optional<TimePoint> m_changedAfter;
     std::uint64_t m_revision = 0;   //!< All changes up to this revision are known.
     std::uint64_t m_generation = 0; //!< Replies to calls of earlier generations are ignored.
     int m_consecutiveFailures = 0;
--- a/libs/gatewaynode/src/details/relaychoice.h
+++ b/libs/gatewaynode/src/details/relaychoice.h
@@ -42,6 +42,10 @@
 //! earlier, for example because this process was paused.
 inline constexpr std::chrono::milliseconds storeReplyMargin{100};
 
+//! A watch that is answered later than this had waited at the store: there were no changes when it
+//! arrived there.
+inline constexpr std::chrono::milliseconds promptReplyTime{500};
+
 //! @brief Pause of a relay after changes, so that its next call returns a batch.
 std::chrono::milliseconds relayPause(std::chrono::milliseconds changeBound);
 
@@ -51,6 +55,10 @@
 //! @brief Time at which the data of a reply is taken to have been current.
 TimePoint dataTimeOfReply(TimePoint sentAt, std::chrono::milliseconds wait, TimePoint receivedAt);
 
+//! @brief Returns a time after which the changes in a reply of the store were made.
+//! @param previousDataTime when the data of this node was current before the reply.
+TimePoint changeTimeOfReply(TimePoint previousDataTime, TimePoint sentAt, TimePoint receivedAt);
+
 //! @brief Returns the relays of the data centre, by weighted rendezvous hashing; none if it has
 //! too few nodes.
 std::vector<RegisteredNode> selectRelays(std::span<const RegisteredNode> nodes,
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -41,6 +41,7 @@
     options.m_budget.m_slack = settings.m_extraArrivalSlack;
     options.m_budget.m_window = settings.m_extraArrivalWindow;
     options.m_warmup = coordination.m_warmup;
+    options.m_drainBound = settings.m_drainBound;
     return options;
 }
 
--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -94,6 +94,7 @@
         return;
     }
     m_consecutiveFailures = 0;
+    m_changedAfter = page.m_changedAfter;
     m_oldestRevision =
         m_items.empty() ? page.m_storeRevision : std::min(m_oldestRevision, page.m_storeRevision);
     m_items.insert(m_items.end(), page.m_items.begin(), page.m_items.end());
@@ -181,6 +182,7 @@
         watch(generation);
         return;
     }
+    m_changedAfter = changes.m_changedAfter;
     m_handlers.m_changes(changes.m_events);
     // A relay has batched the changes already.
     if (changes.m_isRelayed || changes.m_events.size() >= backlogThreshold) {
--- a/libs/gatewaynode/src/relaychoice.cpp
+++ b/libs/gatewaynode/src/relaychoice.cpp
@@ -48,6 +48,15 @@
     return std::min<TimePoint>(receivedAt, sentAt + wait + storeReplyMargin);
 }
 
+TimePoint changeTimeOfReply(TimePoint previousDataTime, TimePoint sentAt, TimePoint receivedAt)
+{
+    if (receivedAt - sentAt <= promptReplyTime) {
+        return previousDataTime;
+    }
+    // The store replied as soon as there was a change.
+    return std::max<TimePoint>(previousDataTime, receivedAt - storeReplyMargin);
+}
+
 std::vector<RegisteredNode> selectRelays(std::span<const RegisteredNode> nodes,
                                          std::string_view dataCentre)
 {
--- a/libs/gatewaynode/src/relayedstore.cpp
+++ b/libs/gatewaynode/src/relayedstore.cpp
@@ -153,7 +153,12 @@
 {
     ++m_generation;
     m_storeIsNext = true;
-    m_store.list(prefix, after, consistency, std::move(handler));
+    m_store.list(prefix, after, consistency,
+                 [dataTime = m_dataTime, handler = std::move(handler)](const MetadataPage &page) {
+                     MetadataPage dated = page;
+                     dated.m_changedAfter = dataTime;
+                     handler(dated);
+                 });
 }
 
 void RelayedStore::watch(std::string_view prefix, std::uint64_t afterRevision,
@@ -196,17 +201,21 @@
 
 void RelayedStore::handleStoreReply(const Watch &watch, const MetadataChanges &changes)
 {
-    if (changes.m_status == MetadataStatus::Ok) {
-        const TimePoint now = bootTimeNow();
+    if (changes.m_status != MetadataStatus::Ok) {
+        watch.m_handler(changes);
+        return;
+    }
+    const TimePoint now = bootTimeNow();
+    MetadataChanges dated = changes;
+    dated.m_changedAfter = changeTimeOfReply(m_dataTime, watch.m_sentAt, now);
+    if (watch.m_generation == m_generation) {
         const TimePoint dataTime = dataTimeOfReply(watch.m_sentAt, watch.m_wait, now);
-        if (watch.m_generation == m_generation) {
-            m_server.append(now, dataTime, watch.m_afterRevision, changes);
-            m_storeIsNext = false;
-            m_dataTime = std::max(m_dataTime, dataTime);
-            m_era = changes.m_era;
-        }
+        m_server.append(now, dataTime, watch.m_afterRevision, changes);
+        m_storeIsNext = false;
+        m_dataTime = std::max(m_dataTime, dataTime);
+        m_era = changes.m_era;
     }
-    watch.m_handler(changes);
+    watch.m_handler(dated);
 }
 
 std::shared_ptr<RelayedStore::Link> RelayedStore::linkTo(const RegisteredNode &relay)
@@ -269,9 +278,10 @@
         answer.m_events.empty() ? watch.m_relayWait : std::chrono::milliseconds(0);
     const TimePoint receivedData =
         dataTimeOfReply(watch.m_sentAt, waited, bootTimeNow()) - answer.m_age;
-    m_dataTime = std::max(m_dataTime, receivedData);
     MetadataChanges changes;
     changes.m_status = MetadataStatus::Ok;
+    changes.m_changedAfter = m_dataTime;
+    m_dataTime = std::max(m_dataTime, receivedData);
     changes.m_events = answer.m_events;
     changes.m_storeRevision = std::max(watch.m_afterRevision, answer.m_upTo);
     changes.m_era = answer.m_era;
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -88,8 +88,8 @@
             presentIds.push_back(item.m_key.substr(m_format.m_targetPrefix.size()));
         }
     }
-    for (const std::string &id :
-         removeMissingEntries(m_engine.registry(), bootTimeNow(), presentIds)) {
+    for (const std::string &id : removeMissingEntries(m_engine.registry(), bootTimeNow(),
+                                                      presentIds, m_watcher->changedAfter())) {
         // Missing from a copy does not mean that a target is gone, unless it was about to leave.
         const TargetPointer target = findTarget(id);
         if (!isRestored || (target && target->m_entry.m_draining)) {
@@ -250,7 +250,7 @@
 {
     const std::string_view id = key.substr(std::min(key.size(), m_format.m_targetPrefix.size()));
     m_guard.forgetEntry(bootTimeNow(), id);
-    if (removeEntry(m_engine.registry(), bootTimeNow(), id)) {
+    if (removeEntry(m_engine.registry(), bootTimeNow(), id, m_watcher->changedAfter())) {
         recordRemoval(id);
         m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", reason}});
     }
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -14,6 +14,7 @@
     page.m_status = m_listStatus;
     page.m_storeRevision = m_revision;
     page.m_era = m_era;
+    page.m_changedAfter = m_changedAfter;
     for (const std::pair<const std::string, std::string> &item : m_items) {
         if (!item.first.starts_with(prefix) || item.first <= after) {
             continue;
@@ -69,7 +70,7 @@
 {
     const Watch watch = m_pendingWatches.front();
     m_pendingWatches.erase(m_pendingWatches.begin());
-    watch.m_handler(MetadataChanges{status, events, storeRevision, m_era});
+    watch.m_handler(MetadataChanges{status, events, storeRevision, m_era, false, m_changedAfter});
 }
 
 void runFor(boost::asio::io_context &context, std::chrono::milliseconds duration)
--- a/libs/gatewaynode/tests/fakestore.h
+++ b/libs/gatewaynode/tests/fakestore.h
@@ -52,7 +52,8 @@
     int m_createdLeases = 0;
     std::chrono::milliseconds m_leaseTimeToLive{0}; //!< Of the last lease created.
     bool m_leaseExists = true;
-    StoreEra m_era; //!< Of all replies, as it is when they are sent.
+    StoreEra m_era;                          //!< Of all replies, as it is when they are sent.
+    std::optional<TimePoint> m_changedAfter; //!< Of pages and changes.
 };
 
 void runFor(boost::asio::io_context &context, std::chrono::milliseconds duration);
--- a/libs/gatewaynode/tests/relaychoicetest.cpp
+++ b/libs/gatewaynode/tests/relaychoicetest.cpp
@@ -36,6 +36,18 @@
 
 } // namespace
 
+// Guards against changes that had waited at the store and are taken for new ones, and against new
+// ones that are taken for as old as the data before them.
+TEST(RelayChoice, ChangesInAPromptReplyMayBeAsOldAsTheDataBefore)
+{
+    constexpr TimePoint sentAt{1h};
+    const TimePoint dataTime = sentAt - 2s;
+    EXPECT_EQ(changeTimeOfReply(dataTime, sentAt, sentAt + 5ms), dataTime);
+    EXPECT_EQ(changeTimeOfReply(dataTime, sentAt, sentAt + promptReplyTime), dataTime);
+    EXPECT_EQ(changeTimeOfReply(dataTime, sentAt, sentAt + 1s), sentAt + 1s - storeReplyMargin);
+    EXPECT_EQ(changeTimeOfReply(sentAt + 1s, sentAt, sentAt + 1s), sentAt + 1s);
+}
+
 // Guards against relays where they save nothing, and against nodes of other data centres as relays.
 TEST(RelayChoice, OnlyDataCentresWithEnoughNodesHaveRelays)
 {
--- a/libs/gatewaynode/tests/relayedstoretest.cpp
+++ b/libs/gatewaynode/tests/relayedstoretest.cpp
@@ -185,6 +185,42 @@
     expectStoreIsAskedWithin(maximumRelayAge(5s) + relayReplyMargin - age);
 }
 
+// Guards against a change that a cut-off relay has withheld and that is taken for a new one when
+// the store tells it, whether the relay answers with old data, is silent or has gone.
+TEST_F(RelayedStoreTest, AChangeThatTheRelayWithheldIsDatedFromBefore)
+{
+    begin();
+    const TimePoint current = bootTimeNow();
+    m_relay->clear();
+    relayReceives(10, 10, maximumRelayAge(5s) - 300ms);
+    watch();
+    runFor(m_context, 500ms);
+    ASSERT_EQ(m_store.m_pendingWatches.size(), 1U);
+    m_store.completeWatch(MetadataStatus::Ok, {makeEvent("k", "v", 11)}, 11);
+    ASSERT_EQ(m_results.size(), 1U);
+    ASSERT_TRUE(m_results[0].m_changedAfter);
+    EXPECT_LE(*m_results[0].m_changedAfter, current);
+    std::optional<TimePoint> listedAfter;
+    m_node->list("", "", ReadConsistency::Strong,
+                 [&listedAfter](const MetadataPage &page) { listedAfter = page.m_changedAfter; });
+    ASSERT_TRUE(listedAfter);
+    EXPECT_GT(*listedAfter, current);
+}
+
+// Guards against the same for a change that a relay passes on late.
+TEST_F(RelayedStoreTest, AChangeInAnAnswerOfARelayIsDatedFromTheDataBefore)
+{
+    begin();
+    const TimePoint current = bootTimeNow();
+    std::this_thread::sleep_for(300ms);
+    relayReceives(10, 11);
+    watch();
+    runFor(m_context, 100ms);
+    ASSERT_EQ(m_results.size(), 1U);
+    ASSERT_TRUE(m_results[0].m_changedAfter);
+    EXPECT_LE(*m_results[0].m_changedAfter, current);
+}
+
 // Guards against changes that a restarted relay has missed.
 TEST_F(RelayedStoreTest, AsksTheStoreWhenTheRelayHasRestarted)
 {
--- a/libs/gatewaynode/tests/storesynctest.cpp
+++ b/libs/gatewaynode/tests/storesynctest.cpp
@@ -107,6 +107,21 @@
 
 } // namespace
 
+// Guards against a removal that the node learns of late, in a batch of changes or in a listing, and
+// that still waits for its whole grace period.
+TEST_F(StoreSyncTest, ALateRemovalTakesEffectAtOnce)
+{
+    m_engine.registry().m_drainBound = 3s;
+    m_sync.start([] {});
+    m_store.m_changedAfter = bootTimeNow() - 10s;
+    complete({{{"targets/t1", "", 12}, true}});
+    EXPECT_FALSE(accepts("t1"));
+    EXPECT_TRUE(accepts("t2"));
+    m_store.m_items.erase("targets/t2");
+    m_sync.restart();
+    EXPECT_FALSE(accepts("t2"));
+}
+
 // Guards against an evacuation that is missed, lasts on after its key is gone, applies to other
 // data centres, or is logged at each change.
 TEST_F(StoreSyncTest, FollowsTheKeyOfAnEvacuation)
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -176,6 +176,8 @@
     std::chrono::milliseconds m_extraArrivalWindow{10'000};
     //! Time within which a change of configuration or registry must be in force.
     std::chrono::milliseconds m_changeBound{3'000};
+    //! Time after which a target that was removed or drains must get no requests.
+    std::chrono::milliseconds m_drainBound{3'000};
     //! Time within which a node must be in step with the store after a disruption.
     std::chrono::milliseconds m_contactBound{4'000};
     std::chrono::milliseconds m_shutdownGrace{6'000}; //!< From SIGTERM to SIGKILL.
--- a/libs/settings/src/gatewaysettings.cpp
+++ b/libs/settings/src/gatewaysettings.cpp
@@ -80,9 +80,10 @@
     readExtraArrivals(reader, settings);
     readMillisecondsInto(reader, "configurationBoundMilliseconds", timeRangeMilliseconds,
                          settings.m_changeBound);
-    std::chrono::milliseconds drainBound = settings.m_changeBound;
-    readMillisecondsInto(reader, "drainBoundMilliseconds", timeRangeMilliseconds, drainBound);
-    settings.m_changeBound = std::min(settings.m_changeBound, drainBound);
+    settings.m_drainBound = settings.m_changeBound;
+    readMillisecondsInto(reader, "drainBoundMilliseconds", timeRangeMilliseconds,
+                         settings.m_drainBound);
+    settings.m_changeBound = std::min(settings.m_changeBound, settings.m_drainBound);
     readMillisecondsInto(reader, "contactBoundMilliseconds", timeRangeMilliseconds,
                          settings.m_contactBound);
     readMillisecondsInto(reader, "shutdownGraceMilliseconds", timeRangeMilliseconds,
