Bound the memory that a parsed reply takes

What callers would see: the process ends, and their requests with it, when the store or another node sends a large reply of many short JSON values.

Cause: such a text takes 12 to 24 times its size once it is parsed, in memory without a limit. A reply of 8 MB, which the client takes, needed more than a VM of 160 MB has.

Change: replies of the store and of other nodes, documents in the store, and the daemon's replies of its store and of health checks are parsed within 24 MiB. A text that takes more counts as unreadable, for which the callers of the parser have their answers already (list again, ask the store itself).

--- a/libs/gatewaynode/src/relaymessages.cpp
+++ b/libs/gatewaynode/src/relaymessages.cpp
@@ -3,10 +3,11 @@
 #include <charconv>
 #include <limits>
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include "jsonreader/jsonreader.h"
+
 namespace arbutusgrade {
 
 namespace json = boost::json;
@@ -126,11 +127,12 @@
     json::parse_options options;
     options.max_depth = maximumDepth;
     boost::system::error_code error;
-    const json::value document = json::parse(text, error, {}, options);
-    if (error || !document.is_object()) {
+    std::size_t consumed = 0;
+    const std::optional<json::value> document = parseWithinLimit(text, options, error, consumed);
+    if (!document || !document->is_object()) {
         return std::nullopt;
     }
-    const json::object &object = document.get_object();
+    const json::object &object = document->get_object();
     const std::optional<std::uint64_t> upTo = integerField(object, "upTo");
     const std::optional<std::uint64_t> age = integerField(object, "ageMs");
     const json::value *events = object.if_contains("events");
--- a/libs/jsonreader/include/jsonreader/jsonreader.h
+++ b/libs/jsonreader/include/jsonreader/jsonreader.h
@@ -31,6 +31,18 @@
 //! Messages of the administration nest 3 levels deep.
 inline constexpr std::size_t messageDepth = 8;
 
+//! Memory that a parsed text may take. That of a text from elsewhere may be more than ten times as
+//! long as the text.
+inline constexpr std::size_t parsedTextLimitBytes = 24 * 1024 * 1024;
+
+//! @brief Parses a whole text within parsedTextLimitBytes.
+//! @param consumed number of bytes that were read before an error.
+//! @return nothing, with the error set, if the text is faulty or takes more memory.
+std::optional<json::value> parseWithinLimit(std::string_view text,
+                                            const json::parse_options &options,
+                                            boost::system::error_code &error,
+                                            std::size_t &consumed);
+
 //! @brief Parses a text that must be one object; a syntax error is a finding with its place, and so
 //! is deeper nesting than allowed.
 std::optional<json::value> parseObject(std::string_view text, std::string_view file,
--- a/libs/jsonreader/src/jsonreader.cpp
+++ b/libs/jsonreader/src/jsonreader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <new>
 
 namespace arbutusgrade {
 
@@ -17,28 +18,77 @@
                    static_cast<int>(before.size() - lineStart) + 1, std::move(message)};
 }
 
+//! @brief Memory from the heap up to a limit, beyond which allocations fail.
+class LimitedMemory final : public json::memory_resource
+{
+public:
+    explicit LimitedMemory(std::size_t limitBytes) : m_leftBytes(limitBytes) { }
+
+private:
+    void *do_allocate(std::size_t bytes, std::size_t alignment) override
+    {
+        if (bytes > m_leftBytes) {
+            throw std::bad_alloc();
+        }
+        void *const memory = ::operator new(bytes, std::align_val_t(alignment));
+        m_leftBytes -= bytes;
+        return memory;
+    }
+
+    void do_deallocate(void *memory, std::size_t bytes, std::size_t alignment) override
+    {
+        m_leftBytes += bytes;
+        ::operator delete(memory, std::align_val_t(alignment));
+    }
+
+    bool do_is_equal(const json::memory_resource &other) const noexcept override
+    {
+        return this == &other;
+    }
+
+    std::size_t m_leftBytes;
+};
+
 } // namespace
 
+std::optional<json::value> parseWithinLimit(std::string_view text,
+                                            const json::parse_options &options,
+                                            boost::system::error_code &error, std::size_t &consumed)
+{
+    const json::storage_ptr memory =
+        json::make_shared_resource<LimitedMemory>(parsedTextLimitBytes);
+    consumed = 0;
+    try {
+        // The first storage is for values whose parents are not complete.
+        json::stream_parser parser(memory, options);
+        parser.reset(memory);
+        consumed = parser.write_some(text.data(), text.size(), error);
+        if (!error && consumed < text.size()) {
+            error = json::error::extra_data;
+        }
+        if (!error) {
+            parser.finish(error);
+        }
+        return error ? std::nullopt : std::optional<json::value>(parser.release());
+    } catch (const std::bad_alloc &) {
+        error = make_error_code(boost::system::errc::not_enough_memory);
+        return std::nullopt;
+    }
+}
+
 std::optional<json::value> parseObject(std::string_view text, std::string_view file,
                                        std::vector<Finding> &findings, std::size_t maximumDepth)
 {
     json::parse_options options;
     options.max_depth = maximumDepth;
-    json::stream_parser parser({}, options);
     boost::system::error_code error;
-    const std::size_t consumed = parser.write_some(text.data(), text.size(), error);
-    if (!error && consumed < text.size()) {
-        error = json::error::extra_data;
-    }
-    if (!error) {
-        parser.finish(error);
-    }
-    if (error) {
+    std::size_t consumed = 0;
+    std::optional<json::value> value = parseWithinLimit(text, options, error, consumed);
+    if (!value) {
         findings.push_back(placedFinding(text, consumed, file, "JSON syntax: " + error.message()));
         return std::nullopt;
     }
-    json::value value = parser.release();
-    if (!value.is_object()) {
+    if (!value->is_object()) {
         findings.push_back(Finding{std::string(file), 1, 1, "must be a JSON object"});
         return std::nullopt;
     }
--- a/libs/transport/src/storeclient.cpp
+++ b/libs/transport/src/storeclient.cpp
@@ -1,8 +1,7 @@
 #include <algorithm>
 #include <deque>
 
-#include <boost/json/parse.hpp>
-
+#include "jsonreader/jsonreader.h"
 #include "transport/transport.h"
 
 namespace arbutusgrade {
@@ -26,11 +25,12 @@
         return std::nullopt;
     }
     boost::system::error_code error;
-    json::value document = json::parse(reply->m_body, error);
-    if (error || !document.is_object()) {
+    std::size_t consumed = 0;
+    std::optional<json::value> document = parseWithinLimit(reply->m_body, {}, error, consumed);
+    if (!document || !document->is_object()) {
         return std::nullopt;
     }
-    return std::move(document.get_object());
+    return std::move(document->get_object());
 }
 
 bool takeValue(const json::object &object, StoreReply &result)
--- a/libs/transport/src/targetmessages.cpp
+++ b/libs/transport/src/targetmessages.cpp
@@ -8,6 +8,8 @@
 #include <boost/json/monotonic_resource.hpp>
 #include <boost/json/parse.hpp>
 
+#include "jsonreader/jsonreader.h"
+
 namespace arbutusgrade {
 
 namespace json = boost::json;
@@ -278,11 +280,12 @@
 std::optional<TargetObservation> parseHealthReply(const ReplyContent &reply)
 {
     boost::system::error_code error;
-    const json::value document = json::parse(reply.m_body, error);
-    if (error || !document.is_object()) {
+    std::size_t consumed = 0;
+    const std::optional<json::value> document = parseWithinLimit(reply.m_body, {}, error, consumed);
+    if (!document || !document->is_object()) {
         return std::nullopt;
     }
-    const json::object &object = document.get_object();
+    const json::object &object = document->get_object();
     TargetObservation observation;
     observation.m_reachable = reply.m_status == 200 || reply.m_status == 503;
     observation.m_draining = isTrue(object, "draining") || textOf(object, "status") == "draining";
