Bound the memory of all replies together, and free the buffers of large ones

What callers would see: the process ends, and their requests with it, when targets send large replies or bytes without end.

Cause: a connection kept the buffers of the largest reply it has had; the store's connections had a limit for each reply and none for all; whole replies counted no longer, although parts of a search and answers to callers held them; above the limit the next reply that grew was given up, a sound one too.

When it is used up, the largest reply that is being read is given up. Buffers above 8 KiB are freed after a reply, large parts of a search are reduced to the records that may be in the response, and a reply has at most 512 header fields.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -582,6 +582,7 @@
     bool m_notExecuted = false;            //!< The target states that it did not run the request.
     bool m_isLeaving = false;              //!< The target states that it is leaving.
     HttpHeaders m_headers;                 //!< Returned to the caller.
+    std::shared_ptr<const void> m_memory;  //!< Keeps the body counted in the limit of its client.
 };
 
 //! @brief Command to send a request to a target.
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 
 #include "details/enginestate.h"
 
@@ -12,6 +13,10 @@
 
 constexpr Duration noCapacityRetryAfter = 300ms;
 
+// Larger parts of a search are reduced to the records that may be in the response as they arrive,
+// so that all parts together take little memory.
+constexpr std::size_t largePartBytes = 8 * 1024;
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -66,6 +71,16 @@
     return {AttemptOutcome::Success, "ok"};
 }
 
+void reduceLargePart(TargetReply &reply, std::size_t recordCount)
+{
+    if (reply.m_body.size() <= largePartBytes) {
+        return;
+    }
+    const std::array<std::string_view, 1> parts{reply.m_body};
+    reply.m_body = mergeRecords(parts, recordCount);
+    reply.m_memory.reset();
+}
+
 void updateTargetStatistics(const Attempt &attempt, TimePoint now, const AttemptResult &result)
 {
     Target &target = *attempt.m_target;
@@ -160,6 +175,9 @@
     if (subrequest.m_state == SubrequestState::Succeeded) {
         return;
     }
+    if (!pending.m_route->m_shards.empty()) {
+        reduceLargePart(reply, pending.m_route->m_topRecords);
+    }
     subrequest.m_state = SubrequestState::Succeeded;
     subrequest.m_reply = std::move(reply);
     ++pending.m_succeededCount;
--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -259,6 +259,7 @@
     TargetReply reply;
     reply.m_status = content.m_status;
     reply.m_body = content.m_body;
+    reply.m_memory = content.m_memory;
     const std::string_view connectionHeader = findHeader(content.m_headers, "connection");
     for (const std::pair<std::string, std::string> &header : content.m_headers) {
         if (iequals(header.first, headers.m_receipt)) {
@@ -285,6 +286,7 @@
         response.m_contentType.clear();
         response.m_headers = answer.m_reply.m_headers;
         response.m_body = answer.m_reply.m_body;
+        response.m_memory = answer.m_reply.m_memory;
         return response;
     }
     if (answer.m_kind == AnswerKind::Merged) {
--- a/libs/gatewaynode/src/details/relayedstore.h
+++ b/libs/gatewaynode/src/details/relayedstore.h
@@ -107,6 +107,7 @@
     RelayedStoreOptions m_options;
     Log &m_log;
     std::chrono::milliseconds m_maximumAge;
+    std::shared_ptr<ReplyBudget> m_replyBudget; //!< Of the links to all relays.
     RelayServer m_server;
     std::vector<RegisteredNode> m_nodes; //!< As registered.
     RelayRoute m_route;                  //!< Empty while this node is a relay or has none.
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -102,6 +102,12 @@
     counter("arbutusgrade_connections_opened_total", "Connections to targets", client.m_opened);
     counter("arbutusgrade_connect_failures_total", "Connections to targets that failed",
             client.m_connectFailures);
+    counter("arbutusgrade_replies_given_up_total",
+            "Replies of targets given up as all together took too much memory",
+            client.m_givenUpReplies);
+    addGauge(families, "arbutusgrade_reply_bytes_held",
+             "Bytes of large replies that are read or passed on",
+             static_cast<double>(client.m_heldBytes));
     addStoreMetrics(families);
     counter("arbutusgrade_log_lines_dropped_total", "Decisions beyond the bound of the log",
             m_decisionLog.droppedLines());
--- a/libs/gatewaynode/src/relayedstore.cpp
+++ b/libs/gatewaynode/src/relayedstore.cpp
@@ -13,6 +13,12 @@
 // Shorter watches fetch changes that the store is known to have; a relay may not have them yet.
 constexpr std::chrono::milliseconds minimumRelayedWait{100};
 
+// Largest answer of a relay, with the framing of its events.
+constexpr std::uint64_t relayReplyLimitBytes = 2 * RelayHistory::answerLimitBytes;
+
+// For the answers of all relays.
+constexpr std::size_t relayBudgetBytes = 4 * relayReplyLimitBytes;
+
 // Ends connections to a relay that has disappeared.
 constexpr std::chrono::milliseconds relayPeerTimeout{1'000};
 
@@ -59,6 +65,7 @@
                            const RelayedStoreOptions &options, Log &log)
     : m_context(context), m_store(store), m_options(options), m_log(log),
       m_maximumAge(maximumRelayAge(options.m_changeBound)),
+      m_replyBudget(makeReplyBudget(relayBudgetBytes)),
       m_server(context, options.m_prefix, m_maximumAge)
 {
 }
@@ -228,6 +235,7 @@
         link->m_client = std::make_shared<HttpClient>(m_context, link->m_hop, connectionsPerRelay);
         link->m_client->setEndpoint(address.m_address, address.m_port);
         link->m_client->setPeerTimeout(relayPeerTimeout);
+        link->m_client->setReplyLimits(relayReplyLimitBytes, m_replyBudget);
     }
     return link;
 }
--- a/libs/gatewaynode/src/relayserver.cpp
+++ b/libs/gatewaynode/src/relayserver.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t connectionLimit = 512;
 constexpr std::uint32_t headerLimitBytes = 4 * 1024;
 constexpr std::uint32_t bodyLimitBytes = 1024;
+constexpr std::uint32_t framingLimitBytes = 4 * 1024;
 
 // For peers that do not read their answer or have disappeared.
 constexpr Duration writeTimeout = std::chrono::seconds(3);
@@ -22,6 +23,7 @@
     HttpServerOptions options;
     options.m_headerLimitBytes = headerLimitBytes;
     options.m_bodyLimitBytes = bodyLimitBytes;
+    options.m_framingLimitBytes = framingLimitBytes;
     options.m_writeTimeout = writeTimeout;
     options.m_connectionLimit = connectionLimit;
     options.m_peerTimeout = peerTimeout;
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -39,6 +39,15 @@
     std::size_t m_bufferedBytes = 0; //!< Now, of replies that are not complete.
 };
 
+//! @brief Keeps bytes that a peer has sent counted in the budget of their client; held by whoever
+//! keeps them. Null for replies that are too small to be counted.
+using ReplyMemory = std::shared_ptr<const void>;
+
+struct ReplyBudget;
+
+//! @brief Creates a limit on the bytes of all replies that one or several clients keep at a time.
+std::shared_ptr<ReplyBudget> makeReplyBudget(std::size_t limitBytes);
+
 // HTTP server ------------------------------------------------------------------------------------
 
 //! @brief A request whose headers and body have arrived completely.
@@ -66,6 +75,7 @@
     std::string m_body;
     std::string m_contentType = "application/json"; //!< Empty for none of its own.
     HttpHeaders m_headers;
+    ReplyMemory m_memory = nullptr; //!< Of the body, until the response has been written.
 };
 
 //! @brief Answers one request; may be kept and called later. Calls after the first have no effect,
@@ -77,6 +87,8 @@
 {
     std::uint32_t m_headerLimitBytes = 16 * 1024;
     std::uint32_t m_bodyLimitBytes = 1024 * 1024;
+    //! For the framing of a request and for the requests that a caller sends ahead.
+    std::uint32_t m_framingLimitBytes = 64 * 1024;
     Duration m_readTimeout{5'000'000};    //!< From the first byte of a request to its last.
     Duration m_writeTimeout{30'000'000};  //!< For a peer that does not read its response.
     Duration m_idleTimeout{75'000'000};   //!< Between requests of one connection.
@@ -166,6 +178,7 @@
     int m_status = 0;
     std::string m_body;
     HttpHeaders m_headers; //!< Only where the exchange asked for them.
+    ReplyMemory m_memory = nullptr;
 
     //! @brief Value of a header, compared without regard to case; empty if it is absent.
     std::string_view header(std::string_view name) const;
@@ -206,6 +219,12 @@
     //! @brief Ends connections whose peer has not acknowledged for this long.
     void setPeerTimeout(std::chrono::milliseconds timeout);
 
+    //! @brief Limits replies; applies to connections opened later. A reply beyond a limit counts as
+    //! unreadable.
+    //! @param replyBytes largest reply, with its head and framing.
+    //! @param budget for the replies of all clients that share it.
+    void setReplyLimits(std::uint64_t replyBytes, std::shared_ptr<ReplyBudget> budget);
+
     void call(Call call, Handler handler);
 
     //! @brief Ends the calls that are waiting or in flight without calling their handlers.
@@ -233,6 +252,8 @@
     std::string m_host;
     asio::ip::tcp::endpoint m_endpoint;
     std::chrono::milliseconds m_peerTimeout{0};
+    std::uint64_t m_replyLimit;
+    std::shared_ptr<ReplyBudget> m_budget;
     asio::steady_timer m_timer;
     std::vector<std::shared_ptr<ClientConnection>> m_idle;
     std::vector<PendingPointer> m_active;
@@ -253,8 +274,9 @@
     Duration m_freshIdleLimit{700'000};
     std::chrono::milliseconds m_peerTimeout{1500};
     std::uint32_t m_replyLimitBytes = 4 * 1024 * 1024; //!< With head and framing.
-    //! For all replies that are being read together. Above it, a reply that grows is given up.
-    std::size_t m_bufferedLimitBytes = 32 * 1024 * 1024;
+    //! For all replies together that are being read or whose content is in use. Above it, the
+    //! largest one that is being read is given up.
+    std::size_t m_bufferedLimitBytes = 24 * 1024 * 1024;
 };
 
 struct ForwardClientStatistics
@@ -263,6 +285,8 @@
     std::uint64_t m_opened = 0;
     std::uint64_t m_connectFailures = 0;
     std::size_t m_connections = 0;
+    std::uint64_t m_givenUpReplies = 0; //!< As all replies together took too much memory.
+    std::size_t m_heldBytes = 0;        //!< Now, of replies that count in the limit for all.
 };
 
 //! @brief One attempt to forward a request to a target.
@@ -326,6 +350,7 @@
     Duration m_cancelLinger{150'000};
     Duration m_probeTimeout{1'000'000};
     std::uint32_t m_replyLimitBytes = 16 * 1024 * 1024;
+    std::size_t m_bufferedLimitBytes = 64 * 1024 * 1024; //!< For all replies together.
 };
 
 struct TargetClientStatistics
--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -16,6 +16,9 @@
 // Most replies fit; the buffer grows for larger ones.
 constexpr std::size_t readSizeBytes = 8 * 1024;
 
+// Header fields of most replies; larger buffers are freed after a reply.
+constexpr std::size_t keptHeaderCapacity = 64;
+
 constexpr int switchingProtocols = 101;
 
 bool isInterim(int status)
@@ -152,6 +155,7 @@
     }
     m_replyBytes += bytes;
     m_hop.m_bufferedBytes += bytes;
+    reserve(bytes);
     if (error) {
         handleEndOfStream(error);
         return;
@@ -159,16 +163,51 @@
     parseBuffered();
 }
 
-bool ClientConnection::isReplyTooLarge() const
+void ClientConnection::reserve(std::size_t bytes)
+{
+    if (!m_budget || m_replyBytes <= unbudgetedReplyBytes) {
+        return;
+    }
+    if (m_reservation) {
+        m_reservation->add(bytes);
+        return;
+    }
+    const std::shared_ptr<ReplyReservation *> own = std::make_shared<ReplyReservation *>();
+    m_reservation = std::make_shared<ReplyReservation>(m_budget, [weak = weak_from_this(), own] {
+        if (const std::shared_ptr<ClientConnection> self = weak.lock()) {
+            asio::post(self->m_socket.get_executor(),
+                       [self, reservation = *own] { self->giveUpReply(reservation); });
+        }
+    });
+    *own = m_reservation.get();
+    m_reservation->add(m_replyBytes);
+}
+
+void ClientConnection::giveUpReply(const ReplyReservation *reservation)
 {
-    // The parser has no limit of its own for the framing of chunks and for trailers.
-    return m_replyBytes > m_replyLimit || m_hop.m_bufferedBytes > m_bufferedLimit;
+    if (m_handler && m_reservation.get() == reservation) {
+        finish(ExchangeEnd::Malformed);
+    }
 }
 
 void ClientConnection::releaseReply()
 {
     m_hop.m_bufferedBytes -= m_replyBytes;
     m_replyBytes = 0;
+    m_reservation.reset();
+}
+
+void ClientConnection::releaseContent()
+{
+    m_content.m_memory.reset();
+    if (m_content.m_body.capacity() > unbudgetedReplyBytes) {
+        // Assigning an empty text would keep the buffer.
+        m_content.m_body.clear();
+        m_content.m_body.shrink_to_fit();
+    }
+    if (m_content.m_headers.capacity() > keptHeaderCapacity) {
+        m_content.m_headers = HttpHeaders();
+    }
 }
 
 bool ClientConnection::parseMessage()
@@ -203,7 +242,8 @@
         return;
     }
     if (!m_parser->is_done()) {
-        if (isReplyTooLarge()) {
+        // The parser has no limit of its own for the framing of chunks and for trailers.
+        if (m_replyBytes > m_replyLimit) {
             finish(ExchangeEnd::Malformed);
         } else {
             readMore();
@@ -239,6 +279,10 @@
 {
     const ExchangeHandler handler = std::move(m_handler);
     m_handler = nullptr;
+    if (m_reservation && end == ExchangeEnd::Reply) {
+        m_reservation->complete();
+        m_content.m_memory = m_reservation;
+    }
     releaseReply();
     if (m_reusable) {
         readMore();
@@ -246,6 +290,10 @@
         close();
     }
     handler(end, m_content);
+    const bool hasBegunAnother = m_handler != nullptr;
+    if (!hasBegunAnother) {
+        releaseContent();
+    }
 }
 
 void ClientConnection::reportNotSent(ExchangeHandler handler)
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "details/replybudget.h"
 #include "details/replyparser.h"
 #include "transport/transport.h"
 
@@ -51,10 +51,10 @@
         m_peerTimeout = timeout;
     }
 
-    //! @brief Limits the incomplete replies of all connections that share the statistics, in bytes.
-    void setBufferedLimit(std::size_t limit)
+    //! @brief Counts replies in the budget; before connect.
+    void setReplyBudget(std::shared_ptr<ReplyBudget> budget)
     {
-        m_bufferedLimit = limit;
+        m_budget = std::move(budget);
     }
 
     //! @brief Writes the request and waits for the reply. The text is not used after the call.
@@ -77,13 +77,18 @@
     void writeRest(std::string rest);
     void readMore();
     void handleRead(boost::system::error_code error, std::size_t bytes);
-    bool isReplyTooLarge() const;
+    //! @brief Counts bytes of the current reply in the budget.
+    void reserve(std::size_t bytes);
+    //! @brief Ends the current exchange if its reply has this reservation.
+    void giveUpReply(const ReplyReservation *reservation);
     void parseBuffered();
     //! @brief Parses what has arrived. Returns false if it is no reply.
     bool parseMessage();
     //! @brief Parses on behind replies such as "100 Continue", which announce the reply proper.
     bool skipInterimReplies();
     void releaseReply();
+    //! @brief Frees the buffers of a large reply, which this connection may never need again.
+    void releaseContent();
     void handleEndOfStream(boost::system::error_code error);
     void finish(ExchangeEnd end);
     void reportNotSent(ExchangeHandler handler);
@@ -91,8 +96,9 @@
     Tcp::socket m_socket;
     HopStatistics &m_hop;
     std::uint64_t m_replyLimit;
-    std::size_t m_bufferedLimit = std::numeric_limits<std::size_t>::max();
-    std::size_t m_replyBytes = 0; //!< Received of the current reply.
+    std::shared_ptr<ReplyBudget> m_budget;
+    std::shared_ptr<ReplyReservation> m_reservation; //!< Of the current reply, unless it is small.
+    std::size_t m_replyBytes = 0;                    //!< Received of the current reply.
     boost::beast::flat_buffer m_buffer;
     std::optional<ReplyParser> m_parser;
     ExchangeOptions m_options; //!< Of the current exchange.
--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -101,6 +101,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::optional<Response> m_response;
+    ReplyMemory m_responseMemory; //!< Until the response has been written.
     HttpRequest m_request;
     Phase m_phase = Phase::Idle;
     TimePoint m_deadline = farFuture; //!< Of all phases but the idle one.
--- a/libs/transport/src/details/replyparser.h
+++ b/libs/transport/src/details/replyparser.h
@@ -22,6 +22,7 @@
         m_content.m_status = 0;
         m_content.m_body.clear();
         m_content.m_headers.clear();
+        m_content.m_memory.reset();
         skip(options.m_expectNoBody);
         eager(true);
         header_limit(headerLimitBytes);
@@ -31,6 +32,10 @@
 private:
     static constexpr std::uint32_t headerLimitBytes = 16 * 1024;
 
+    // With those of trailers, which the limit above does not cover. A field takes more memory than
+    // its text.
+    static constexpr std::size_t fieldLimit = 512;
+
     // Range of valid status codes; RFC 9110, section 15. The parser takes any three digits.
     static constexpr int minimumStatus = 100;
     static constexpr int maximumStatus = 599;
@@ -77,6 +82,10 @@
             error = boost::beast::http::error::bad_value;
             return;
         }
+        if (m_content.m_headers.size() >= fieldLimit) {
+            error = boost::beast::http::error::header_limit;
+            return;
+        }
         if (m_keepHeaders) {
             m_content.m_headers.emplace_back(std::string_view(name.data(), name.size()),
                                              std::string_view(value.data(), value.size()));
--- a/libs/transport/src/details/targetpool.h
+++ b/libs/transport/src/details/targetpool.h
@@ -18,6 +18,7 @@
     TargetClientOptions m_options;
     TargetClientEvents m_events;
     InvariantCounters &m_invariants;
+    std::shared_ptr<ReplyBudget> m_budget;
     TargetClientStatistics m_statistics;
     std::string m_requestText; //!< Reused for each request.
 };
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -73,7 +73,8 @@
     };
 
     Implementation(asio::io_context &context, const ForwardClientOptions &options)
-        : m_context(context), m_options(options)
+        : m_context(context), m_options(options),
+          m_budget(makeReplyBudget(options.m_bufferedLimitBytes))
     {
     }
 
@@ -205,7 +206,7 @@
         link->m_connection = std::make_shared<ClientConnection>(m_context, m_statistics.m_hop,
                                                                 m_options.m_replyLimitBytes);
         link->m_connection->setPeerTimeout(m_options.m_peerTimeout);
-        link->m_connection->setBufferedLimit(m_options.m_bufferedLimitBytes);
+        link->m_connection->setReplyBudget(m_budget);
         ++m_statistics.m_opened;
         ++m_statistics.m_connections;
         return link;
@@ -313,6 +314,7 @@
 
     asio::io_context &m_context;
     ForwardClientOptions m_options;
+    std::shared_ptr<ReplyBudget> m_budget;
     ForwardClientStatistics m_statistics;
     std::unordered_map<std::string, std::vector<LinkPointer>> m_idle; //!< Latest used last.
     std::unordered_map<std::uint64_t, Flight> m_flights;
@@ -352,7 +354,10 @@
 
 const ForwardClientStatistics &ForwardClient::statistics() const
 {
-    return m_implementation->m_statistics;
+    ForwardClientStatistics &statistics = m_implementation->m_statistics;
+    statistics.m_givenUpReplies = m_implementation->m_budget->m_givenUpReplies;
+    statistics.m_heldBytes = m_implementation->m_budget->m_usedBytes;
+    return statistics;
 }
 
 } // namespace arbutusgrade
--- a/libs/transport/src/httpclient.cpp
+++ b/libs/transport/src/httpclient.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 // Values of the store take up to 1 MB; their JSON form may be longer.
-constexpr std::uint64_t replyLimitBytes = 8 * 1024 * 1024;
+constexpr std::uint64_t defaultReplyLimitBytes = 8 * 1024 * 1024;
+constexpr std::size_t defaultBudgetBytes = 16 * 1024 * 1024;
 
 std::string requestText(const std::string &host, const HttpClient::Call &call)
 {
@@ -36,7 +37,8 @@
 }
 
 HttpClient::HttpClient(asio::io_context &context, HopStatistics &hop, int connections)
-    : m_context(context), m_hop(hop), m_limit(connections), m_timer(context)
+    : m_context(context), m_hop(hop), m_limit(connections), m_replyLimit(defaultReplyLimitBytes),
+      m_budget(makeReplyBudget(defaultBudgetBytes)), m_timer(context)
 {
 }
 
@@ -60,6 +62,12 @@
     m_peerTimeout = timeout;
 }
 
+void HttpClient::setReplyLimits(std::uint64_t replyBytes, std::shared_ptr<ReplyBudget> budget)
+{
+    m_replyLimit = replyBytes;
+    m_budget = std::move(budget);
+}
+
 void HttpClient::call(Call call, Handler handler)
 {
     m_waiting.push_back(
@@ -104,8 +112,9 @@
 
 void HttpClient::connect(const PendingPointer &pending)
 {
-    pending->m_connection = std::make_shared<ClientConnection>(m_context, m_hop, replyLimitBytes);
+    pending->m_connection = std::make_shared<ClientConnection>(m_context, m_hop, m_replyLimit);
     pending->m_connection->setPeerTimeout(m_peerTimeout);
+    pending->m_connection->setReplyBudget(m_budget);
     pending->m_connection->connect(m_endpoint, [weak = weak_from_this(), pending](bool connected) {
         const std::shared_ptr<HttpClient> self = weak.lock();
         if (!self) {
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -23,9 +23,6 @@
 constexpr Duration drainTimeout{1'000'000};
 constexpr std::size_t drainLimitBytes = 4 * 1024 * 1024;
 
-// Room for the framing of a request and for the requests that a caller sends ahead.
-constexpr std::size_t framingLimitBytes = 64 * 1024;
-
 std::string errorBody(std::string_view message)
 {
     return boost::json::serialize(boost::json::object{{"error", message}});
@@ -208,7 +205,7 @@
     m_parser->header_limit(options.m_headerLimitBytes);
     m_parser->body_limit(options.m_bodyLimitBytes);
     // The parser has no limit of its own for the framing of chunks and for trailers.
-    m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), framingLimitBytes)
+    m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), options.m_framingLimitBytes)
                       + options.m_headerLimitBytes + options.m_bodyLimitBytes);
 }
 
@@ -400,6 +397,7 @@
     }
     m_response->keep_alive(keepAlive);
     m_response->body() = std::move(response.m_body);
+    m_responseMemory = std::move(response.m_memory);
     m_response->prepare_payload();
     if (m_request.m_method == "HEAD") {
         // The caller would take a body for the beginning of the next response.
@@ -420,6 +418,7 @@
         close();
         return;
     }
+    m_responseMemory.reset();
     if (m_response->keep_alive()) {
         waitForRequest();
         return;
@@ -453,6 +452,7 @@
     const bool hasUnreadBytes = m_phase == Phase::Idle && hasUnreadRequest();
     m_phase = Phase::Closed;
     m_deadline = farFuture;
+    m_responseMemory.reset();
     error_code ignored;
     m_socket.close(ignored);
     if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
--- a/libs/transport/src/targetclient.cpp
+++ b/libs/transport/src/targetclient.cpp
@@ -72,7 +72,13 @@
 TargetClient::TargetClient(asio::io_context &context, const TargetClientOptions &options,
                            TargetClientEvents events, InvariantCounters &invariants)
     : m_implementation(std::make_shared<Implementation>(std::make_shared<TargetClientState>(
-        TargetClientState{context, options, std::move(events), invariants, {}, {}})))
+        TargetClientState{context,
+                          options,
+                          std::move(events),
+                          invariants,
+                          makeReplyBudget(options.m_bufferedLimitBytes),
+                          {},
+                          {}})))
 {
     m_implementation->sweep();
 }
--- a/libs/transport/src/targetpool.cpp
+++ b/libs/transport/src/targetpool.cpp
@@ -172,6 +172,7 @@
     const PooledPointer pooled = std::make_shared<PooledConnection>();
     pooled->m_connection = std::make_shared<ClientConnection>(
         m_state->m_context, m_state->m_statistics.m_hop, m_state->m_options.m_replyLimitBytes);
+    pooled->m_connection->setReplyBudget(m_state->m_budget);
     pooled->m_deadline = steadyNow() + m_state->m_options.m_connectTimeout;
     m_connections.push_back(pooled);
     ++m_connecting;
--- a/libs/transport/tests/endlessreplytest.cpp
+++ b/libs/transport/tests/endlessreplytest.cpp
@@ -67,7 +67,7 @@
     std::string m_text;
 };
 
-class EndlessReplyTest : public testing::TestWithParam<EndlessReply>
+class EndlessRepliesTest : public testing::Test
 {
 protected:
     void send(ForwardClient &client, const EndlessPeer &peer, std::uint64_t attempt)
@@ -86,6 +86,10 @@
     std::vector<ForwardEnd> m_ends;
 };
 
+class EndlessReplyTest : public EndlessRepliesTest, public testing::WithParamInterface<EndlessReply>
+{
+};
+
 std::string paramName(const testing::TestParamInfo<EndlessReply> &info)
 {
     return info.param.m_name;
@@ -140,6 +144,73 @@
     EXPECT_EQ(client.statistics().m_connections, 0U);
 }
 
+// Guards against the same from the store and from other nodes, whose calls share a limit, and
+// against a client that takes such bytes for a reply.
+TEST_P(EndlessReplyTest, CallsOfTheStoreAndOfNodesStayWithinTheirLimit)
+{
+    constexpr int calls = 8;
+    constexpr std::size_t limitBytes = 1024 * 1024;
+    constexpr std::size_t readBytes = 64 * 1024;
+    HopStatistics hop;
+    EndlessPeer peer(m_context, GetParam().m_prefix, GetParam().m_text);
+    const std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>(m_context, hop, calls);
+    client->setEndpoint("127.0.0.1", peer.endpoint().port());
+    client->setReplyLimits(512 * 1024, makeReplyBudget(limitBytes));
+    int ended = 0;
+    std::size_t peak = 0;
+    for (int call = 0; call < calls; ++call) {
+        HttpClient::Call request;
+        request.m_method = "GET";
+        request.m_path = "/";
+        request.m_deadline = steadyNow() + std::chrono::seconds(10);
+        client->call(std::move(request), [&ended](const ReplyContent *reply) {
+            EXPECT_EQ(reply, nullptr);
+            ++ended;
+        });
+    }
+    EXPECT_TRUE(runUntil(m_context, [&hop, &peak, &ended] {
+        peak = std::max(peak, hop.m_bufferedBytes);
+        return ended == calls;
+    }));
+    EXPECT_LE(peak, limitBytes + calls * readBytes);
+    EXPECT_EQ(hop.m_bufferedBytes, 0U);
+    client->stop();
+}
+
+// Guards against replies of sound targets that are given up in place of the endless ones which use
+// up the memory.
+TEST_F(EndlessRepliesTest, TheLargestReplyIsGivenUpFirst)
+{
+    constexpr int endlessTargets = 20;
+    constexpr std::size_t soundBodyBytes = 100'000;
+    ForwardClientOptions options;
+    options.m_replyLimitBytes = 1024 * 1024;
+    options.m_bufferedLimitBytes = 2 * 1024 * 1024;
+    ForwardClient client(m_context, options);
+    EndlessPeer peer(m_context, okHead + "\r\n", "body");
+    RawServer sound(m_context, [](RawServer::Peer &soundPeer, const std::string &) {
+        soundPeer.reply(200, std::string(soundBodyBytes, 's'));
+    });
+    std::size_t soundBytes = 0;
+    ForwardAttempt order;
+    order.m_attempt = endlessTargets + 1;
+    order.m_target = "sound";
+    order.m_endpoint = {boost::asio::ip::address_v4::loopback(), sound.port()};
+    order.m_text = "GET / HTTP/1.1\r\nHost: t\r\n\r\n";
+    for (int target = 1; target <= endlessTargets; ++target) {
+        send(client, peer, static_cast<std::uint64_t>(target));
+    }
+    client.send(order, [&soundBytes](ForwardEnd end, const ReplyContent &reply) {
+        EXPECT_EQ(end, ForwardEnd::Reply);
+        soundBytes = reply.m_body.size();
+    });
+    EXPECT_TRUE(runUntil(m_context, [this] { return m_ends.size() == endlessTargets; }));
+    EXPECT_TRUE(runUntil(m_context, [&soundBytes] { return soundBytes != 0; }));
+    EXPECT_EQ(soundBytes, soundBodyBytes);
+    EXPECT_GT(client.statistics().m_givenUpReplies, 0U);
+    EXPECT_EQ(client.statistics().m_heldBytes, 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Kinds, EndlessReplyTest,
     testing::Values(EndlessReply{"NoHttp", "", "0123456789"},
