Send nothing to a target for the time that it asks for in a refusal

What callers and servers saw: a server that refuses a request with 503 and Retry-After got further requests from the same node in that time; callers got a fixed Retry-After of 0.3 s.

Change: a 503 of a target with Retry-After, in seconds with or without a fraction, keeps all requests of this node from its process for that time, 5 minutes at most. Where all targets of a service refuse, requests are refused at once with the shortest time that is left; a search leaves such a shard out or is refused in the same way. One log line, one counter.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -210,6 +210,7 @@
     Duration m_requestInterval{0}; //!< Between requests of this node to the target's service.
     TimePoint m_statisticsUpdatedAt;
     TimePoint m_backoffUntil;
+    TimePoint m_refusesUntil; //!< It has asked this node in a refusal to send nothing until then.
     int m_consecutiveConnectFailures = 0; //!< Reset by a successful connection.
     TimePoint m_reachableAt;              //!< Of the last successful connection or reply.
     bool m_down = false; //!< Refuses connections; used again after a successful probe.
@@ -292,6 +293,10 @@
 bool setEvacuated(TargetRegistry &registry, TimePoint now, const std::string &dataCentre,
                   bool evacuated);
 
+//! @brief Returns whether the target is in use, apart from its request to wait. Also true for a
+//! target that is down.
+bool isInUse(const Target &target, TimePoint now);
+
 //! @brief Returns whether new requests may be sent to the target. Also true for a target that is
 //! down.
 bool acceptsRequests(const Target &target, TimePoint now);
@@ -382,6 +387,16 @@
 //! @brief Returns whether any of the targets accepts requests and is not down.
 bool hasAvailableTarget(std::span<const TargetPointer> targets, TimePoint now);
 
+//! Longest time for which a target's request to wait is heeded.
+inline constexpr Duration maximumRefusalTime = std::chrono::minutes(5);
+
+//! @brief Sends nothing to a target for a time, as it has asked for in a refusal.
+void deferRequests(Target &target, TimePoint now, Duration time);
+
+//! @brief Returns the time until one of the targets accepts requests: zero if one does, empty if
+//! that is not known.
+std::optional<Duration> timeUntilAvailable(std::span<const TargetPointer> targets, TimePoint now);
+
 //! @brief Records that the target accepted a connection.
 void recordReachable(Target &target, TimePoint now);
 
@@ -581,8 +596,10 @@
     std::optional<std::string> m_echoedId; //!< Request id echoed by the target.
     bool m_notExecuted = false;            //!< The target states that it did not run the request.
     bool m_isLeaving = false;              //!< The target states that it is leaving.
-    HttpHeaders m_headers;                 //!< Returned to the caller.
-    std::shared_ptr<const void> m_memory;  //!< Keeps the body counted in the limit of its client.
+    //! The target refuses requests and wants none for this time.
+    std::optional<Duration> m_refusalTime;
+    HttpHeaders m_headers;                //!< Returned to the caller.
+    std::shared_ptr<const void> m_memory; //!< Keeps the body counted in the limit of its client.
 };
 
 //! @brief Command to send a request to a target.
@@ -705,6 +722,7 @@
     std::uint64_t m_mismatches = 0; //!< Replies to a different request.
     std::uint64_t m_callerDisconnects = 0;
     std::uint64_t m_probes = 0;
+    std::uint64_t m_refusalTimes = 0;   //!< Refusals in which a target asked for time.
     std::uint64_t m_leavingTargets = 0; //!< Processes that said in a reply that they are leaving.
     std::uint64_t m_crashes = 0;        //!< Attributed to requests, by this node.
     std::uint64_t m_clearedCrashes = 0; //!< Of those, and of other nodes, by an answer.
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -142,7 +142,10 @@
     ServiceState &serviceState(const std::string &name);
 
     // Reachability (reachability.cpp)
-    bool canServe(TimePoint now, const Route &route, const ServiceState *singleService) const;
+    //! @brief Returns the time until enough targets accept requests for the request: zero if they
+    //! do now, empty if that is not known.
+    std::optional<Duration> timeUntilServable(TimePoint now, const PendingRequest &pending) const;
+    std::optional<Duration> timeUntilReachable(TimePoint now, const std::string &service) const;
     bool isServiceReachable(TimePoint now, const std::string &service) const;
     bool hasEvacuatedTarget(const std::string &service) const;
     bool isAffectedByEvacuation(const Route &route, const ServiceState *singleService) const;
@@ -157,7 +160,9 @@
     //! target.
     void recordNotices(TimePoint now, const Attempt &attempt, const TargetReply &reply,
                        bool isOtherProcess);
-    void recordLeaving(TimePoint now, const Attempt &attempt, Target &target);
+    //! @brief Logs a notice, and refuses what waits for the target's service if no target is left.
+    void recordNotice(TimePoint now, const Attempt &attempt, const Target &target,
+                      std::string_view event);
 
     // Crashes of targets (crashattribution.cpp)
     void recordLostRequest(TimePoint now, const Attempt &attempt);
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -228,7 +228,12 @@
     const Route &route = *pending.m_route;
     const ServiceState *singleService =
         route.m_shards.empty() ? pending.m_subrequests.front().m_service : nullptr;
-    if (!canServe(now, route, singleService)) {
+    const std::optional<Duration> wait = timeUntilServable(now, pending);
+    if (wait && *wait > Duration::zero()) {
+        refuseRequest(*pending.m_request, {AnswerKind::Refused, 503, "targets-refuse", wait, {}});
+        return true;
+    }
+    if (!wait) {
         // Other nodes cannot use evacuated targets either, so this one stays ready.
         if (!isAffectedByEvacuation(route, singleService)) {
             m_unreachableUntil = now + unreachablePeriod;
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -335,7 +335,8 @@
         answer.m_kind = AnswerKind::Refused;
         answer.m_status = 503;
         answer.m_reason = "no-capacity";
-        answer.m_retryAfter = noCapacityRetryAfter;
+        answer.m_retryAfter = std::max(noCapacityRetryAfter,
+                                       timeUntilServable(now, pending).value_or(Duration::zero()));
     } else if (timedOut) {
         answer.m_kind = AnswerKind::TimedOut;
         answer.m_status = 504;
--- a/libs/forwarding/src/reachability.cpp
+++ b/libs/forwarding/src/reachability.cpp
@@ -24,6 +24,15 @@
     return found != m_registry.m_targetsByService.end() && hasAvailableTarget(found->second, now);
 }
 
+std::optional<Duration> ForwardEngine::Implementation::timeUntilReachable(
+    TimePoint now, const std::string &service) const
+{
+    const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator found =
+        m_registry.m_targetsByService.find(service);
+    return found == m_registry.m_targetsByService.end() ? std::nullopt
+                                                        : timeUntilAvailable(found->second, now);
+}
+
 bool ForwardEngine::Implementation::hasEvacuatedTarget(const std::string &service) const
 {
     const std::unordered_map<std::string, std::vector<TargetPointer>>::const_iterator found =
@@ -43,16 +52,26 @@
                        [this](const std::string &shard) { return hasEvacuatedTarget(shard); });
 }
 
-bool ForwardEngine::Implementation::canServe(TimePoint now, const Route &route,
-                                             const ServiceState *singleService) const
+std::optional<Duration> ForwardEngine::Implementation::timeUntilServable(
+    TimePoint now, const PendingRequest &pending) const
 {
-    if (singleService != nullptr) {
-        return isServiceReachable(now, singleService->m_name);
+    const Route &route = *pending.m_route;
+    if (route.m_shards.empty()) {
+        return timeUntilReachable(now, pending.m_subrequests.front().m_service->m_name);
+    }
+    std::vector<Duration> times;
+    for (const std::string &shard : route.m_shards) {
+        if (const std::optional<Duration> time = timeUntilReachable(now, shard)) {
+            times.push_back(*time);
+        }
+    }
+    std::sort(times.begin(), times.end());
+    for (std::size_t included = 1; included <= times.size(); ++included) {
+        if (hasEnoughShards(route, included)) {
+            return times[included - 1];
+        }
     }
-    const std::ptrdiff_t reachable =
-        std::count_if(route.m_shards.begin(), route.m_shards.end(),
-                      [&](const std::string &shard) { return isServiceReachable(now, shard); });
-    return hasEnoughShards(route, static_cast<std::size_t>(reachable));
+    return std::nullopt;
 }
 
 void ForwardEngine::Implementation::probeDownTargets(TimePoint now)
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -214,12 +214,17 @@
     return true;
 }
 
-bool acceptsRequests(const Target &target, TimePoint now)
+bool isInUse(const Target &target, TimePoint now)
 {
     return !target.m_evacuated && !target.m_addressReused && !target.m_entry.m_draining
            && !target.m_isLeaving && (!target.m_removed || now < target.m_removalEffectiveAt);
 }
 
+bool acceptsRequests(const Target &target, TimePoint now)
+{
+    return isInUse(target, now) && now >= target.m_refusesUntil;
+}
+
 void purgeRemovedTargets(TargetRegistry &registry, TimePoint now)
 {
     std::vector<TargetPointer> expired;
--- a/libs/forwarding/src/targetchoice.cpp
+++ b/libs/forwarding/src/targetchoice.cpp
@@ -181,6 +181,25 @@
     });
 }
 
+void deferRequests(Target &target, TimePoint now, Duration time)
+{
+    target.m_refusesUntil =
+        std::max(target.m_refusesUntil, now + std::min(time, maximumRefusalTime));
+}
+
+std::optional<Duration> timeUntilAvailable(std::span<const TargetPointer> targets, TimePoint now)
+{
+    std::optional<Duration> shortest;
+    for (const TargetPointer &target : targets) {
+        if (target->m_down || !isInUse(*target, now)) {
+            continue;
+        }
+        const Duration time = std::max(Duration::zero(), target->m_refusesUntil - now);
+        shortest = std::min(shortest.value_or(time), time);
+    }
+    return shortest;
+}
+
 void recordReachable(Target &target, TimePoint now)
 {
     target.m_down = false;
--- a/libs/forwarding/src/targetnotices.cpp
+++ b/libs/forwarding/src/targetnotices.cpp
@@ -5,25 +5,30 @@
 void ForwardEngine::Implementation::recordNotices(TimePoint now, const Attempt &attempt,
                                                   const TargetReply &reply, bool isOtherProcess)
 {
-    if (!reply.m_isLeaving) {
+    if (!reply.m_isLeaving && !reply.m_refusalTime) {
         return;
     }
     const TargetPointer sender =
         isOtherProcess ? findOtherTargetAtAddress(m_registry, *attempt.m_target) : attempt.m_target;
-    if (sender) {
-        recordLeaving(now, attempt, *sender);
+    if (!sender) {
+        return;
+    }
+    if (reply.m_refusalTime) {
+        deferRequests(*sender, now, *reply.m_refusalTime);
+        ++m_statistics.m_refusalTimes;
+        recordNotice(now, attempt, *sender, "target-refuses");
+    }
+    if (reply.m_isLeaving && markLeaving(m_registry, *sender)) {
+        ++m_statistics.m_leavingTargets;
+        recordNotice(now, attempt, *sender, "target-leaving");
     }
 }
 
-void ForwardEngine::Implementation::recordLeaving(TimePoint now, const Attempt &attempt,
-                                                  Target &target)
+void ForwardEngine::Implementation::recordNotice(TimePoint now, const Attempt &attempt,
+                                                 const Target &target, std::string_view event)
 {
-    if (!markLeaving(m_registry, target)) {
-        return;
-    }
-    ++m_statistics.m_leavingTargets;
     ForwardDecision decision;
-    decision.m_event = "target-leaving";
+    decision.m_event = event;
     decision.m_reason = "said-in-reply";
     decision.m_requestId = attempt.m_request->m_requestId;
     decision.m_service = target.m_entry.m_service;
--- a/libs/forwarding/tests/targetnoticestest.cpp
+++ b/libs/forwarding/tests/targetnoticestest.cpp
@@ -24,6 +24,16 @@
         m_engine.attemptEnded(m_now, order.m_attempt, ForwardEnd::Reply, reply);
     }
 
+    //! @brief Ends the attempt of an order with a refusal in which the target asks for time.
+    void replyWait(const ForwardCommand &order, Duration time)
+    {
+        TargetReply reply;
+        reply.m_status = 503;
+        reply.m_notExecuted = true;
+        reply.m_refusalTime = time;
+        m_engine.attemptEnded(m_now, order.m_attempt, ForwardEnd::Reply, reply);
+    }
+
     TargetPointer targetOf(const std::string &id)
     {
         return m_engine.registry().m_targets.at(id);
@@ -181,4 +191,78 @@
     EXPECT_TRUE(m_output.m_answers.back().m_retryAfter.has_value());
 }
 
+// Guards against requests to a target that wants none for a time, of any kind and also after it has
+// answered what was in flight, and against a request that is not tried at another target.
+TEST_F(TargetNoticesTest, SendsNothingToATargetForTheTimeThatItAsksFor)
+{
+    submit("/orders/a");
+    submit("/orders/b");
+    const ForwardCommand refused = m_output.m_orders[0];
+    const std::string id = refused.m_target->m_entry.m_id;
+    replyWait(refused, 2s);
+    EXPECT_NE(lastOrder().m_target->m_entry.m_id, id);
+    replySuccess(lastOrder());
+    replySuccess(m_output.m_orders[1]);
+    advanceTime(1999ms);
+    expectNoMoreOrdersAt(id);
+    EXPECT_FALSE(accepts(id));
+    advanceTime(1ms);
+    EXPECT_TRUE(accepts(id));
+    EXPECT_EQ(m_engine.statistics().m_refusalTimes, 1U);
+}
+
+// Guards against a faulty target that is out of use for good, and against one that gets requests
+// earlier as it asks for less time later.
+TEST_F(TargetNoticesTest, TheTimeIsBoundedAndNotShortened)
+{
+    const TargetPointer target = targetOf("ordersa");
+    deferRequests(*target, m_now, std::chrono::hours(24));
+    EXPECT_FALSE(acceptsRequests(*target, m_now + maximumRefusalTime - 1us));
+    EXPECT_TRUE(acceptsRequests(*target, m_now + maximumRefusalTime));
+    deferRequests(*target, m_now, 0s);
+    EXPECT_FALSE(acceptsRequests(*target, m_now + 1s));
+}
+
+// Guards against requests that wait for their deadline, or for a fixed time, while all targets of a
+// service refuse, and against a node that then counts as isolated.
+TEST_F(TargetNoticesTest, RefusesWithTheShortestTimeThatIsLeft)
+{
+    submit("/orders/x");
+    for (const Duration time : {Duration(3s), Duration(1s), Duration(2s)}) {
+        replyWait(ForwardCommand(lastOrder()), time);
+    }
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_status, 503);
+    EXPECT_EQ(m_output.m_answers[0].m_retryAfter, Duration(1s));
+    advanceTime(400ms);
+    const std::size_t sent = m_output.m_orders.size();
+    submit("/orders/y");
+    EXPECT_EQ(m_output.m_orders.size(), sent);
+    ASSERT_EQ(m_output.m_answers.size(), 2U);
+    EXPECT_EQ(m_output.m_answers[1].m_reason, "targets-refuse");
+    EXPECT_EQ(m_output.m_answers[1].m_retryAfter, Duration(600ms));
+    EXPECT_FALSE(m_engine.isIsolated(m_now));
+    advanceTime(600ms);
+    submit("/orders/z");
+    EXPECT_EQ(m_output.m_orders.size(), sent + 1);
+}
+
+// Guards against a search that is refused although enough of its shards can be asked, and against
+// one that waits for a shard whose targets all refuse.
+TEST_F(TargetNoticesTest, ASearchLeavesOutAShardWhoseTargetsRefuse)
+{
+    for (const std::string id : {"shard-1a", "shard-1b", "shard-1c"}) {
+        deferRequests(*targetOf(id), m_now, 2s);
+    }
+    submit("/search/x");
+    ASSERT_EQ(m_output.m_orders.size(), 1U);
+    replySuccess(lastOrder());
+    ASSERT_EQ(m_output.m_answers.size(), 1U);
+    EXPECT_EQ(m_output.m_answers[0].m_missingShards, 1U);
+    m_table.m_routes[0].m_minimumShardShare = 1.0;
+    applyTable(2);
+    submit("/search/y");
+    EXPECT_EQ(m_output.m_answers.back().m_retryAfter, Duration(2s));
+}
+
 } // namespace arbutusgrade
--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -14,6 +14,7 @@
 using boost::beast::iequals;
 
 constexpr int unauthorizedStatus = 401;
+constexpr int refusedStatus = 503;
 
 // Hop-by-hop headers (RFC 9110, section 7.6.1), including Transfer-Encoding, as messages are framed
 // again for the next hop.
@@ -83,6 +84,21 @@
     return std::chrono::milliseconds(std::min(milliseconds, maximumMilliseconds));
 }
 
+//! @brief Reads a number of seconds, with or without a fraction. A date, a negative number and what
+//! is no number give nothing; so does a number that a double cannot hold.
+std::optional<Duration> parseSeconds(std::string_view text)
+{
+    constexpr double maximumSeconds = 1e6;
+    double seconds = 0.0;
+    const char *const end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, seconds);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end || !(seconds >= 0.0)) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::min(seconds, maximumSeconds)));
+}
+
 std::string formatSeconds(Duration duration)
 {
     std::array<char, 32> text{};
@@ -260,6 +276,9 @@
     reply.m_status = content.m_status;
     reply.m_body = content.m_body;
     reply.m_memory = content.m_memory;
+    if (content.m_status == refusedStatus) {
+        reply.m_refusalTime = parseSeconds(findHeader(content.m_headers, "retry-after"));
+    }
     const std::string_view connectionHeader = findHeader(content.m_headers, "connection");
     for (const std::pair<std::string, std::string> &header : content.m_headers) {
         if (iequals(header.first, headers.m_receipt)) {
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -35,6 +35,8 @@
             engine.m_callerDisconnects);
     counter("arbutusgrade_probes_total", "Connections opened to targets that were down",
             engine.m_probes);
+    counter("arbutusgrade_target_refusal_times_total",
+            "Refusals in which a target asked for no requests for a time", engine.m_refusalTimes);
     counter("arbutusgrade_targets_leaving_total", "Targets that said in a reply that they leave",
             engine.m_leavingTargets);
     counter("arbutusgrade_crashes_total", "Crashes of targets attributed to requests",
--- a/libs/gatewaynode/tests/callerrequeststest.cpp
+++ b/libs/gatewaynode/tests/callerrequeststest.cpp
@@ -223,6 +223,29 @@
     EXPECT_FALSE(parseTargetReply(content, testHeaders()).m_isLeaving);
 }
 
+// Guards against a refusal whose time is not understood, and against odd values that stop the use
+// of a target or end the process.
+TEST(CallerRequests, ReadsForHowLongATargetRefuses)
+{
+    const auto timeOf = [](const std::string &text, int status) {
+        ReplyContent content;
+        content.m_status = status;
+        content.m_headers = {{"retry-AFTER", text}};
+        return parseTargetReply(content, testHeaders()).m_refusalTime;
+    };
+    EXPECT_EQ(timeOf("2", 503), Duration(2s));
+    EXPECT_EQ(timeOf("0.25", 503), Duration(250ms));
+    EXPECT_EQ(timeOf("0", 503), Duration(0));
+    EXPECT_GE(timeOf("1e300", 503), Duration(24h));
+    EXPECT_GE(timeOf("inf", 503), Duration(24h));
+    for (const std::string odd :
+         {"", "-1", "nan", "1e999", "2s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        EXPECT_FALSE(timeOf(odd, 503)) << odd;
+    }
+    EXPECT_FALSE(timeOf("2", 500));
+    EXPECT_FALSE(timeOf("2", 429));
+}
+
 // Guards against a deployment without organisations whose callers lose their headers, and against a
 // 401 where the engine answers 404 or 503.
 TEST(CallerRequests, LeavesOtherRequestsAsTheyAre)
