Answer what is due before the daemon's stop ends after a stall

What callers saw: a request in flight has no answer when the daemon's stop ends after a stall of the process, though its answer at the end of its time was due.

Cause: waitForEnd() compared the time with the end of the stop before the engine had handled the timers that were due; which of the two timers came first decided. The gateway advances its engine first.

Change: the daemon does so too.

--- a/libs/node/src/lifecycle.cpp
+++ b/libs/node/src/lifecycle.cpp
@@ -142,6 +142,9 @@
 
 void NodeShell::Implementation::waitForEnd()
 {
+    // After a stall of the process the last answers may still be due.
+    advance(steadyNow());
+    performActions();
     // A connection that ends with the process may reset before its caller has read the answer. A
     // claim that is neither recorded nor released leaves its next send in doubt.
     const bool ended = requestsInFlight(*m_engine) == 0 && storeCallsInFlight(*m_engine) == 0
