Count crashes for each organisation's request

What callers saw: a request of one tenant crashed server after server and was never stopped while another tenant sent the same path and body with success.

Cause: the fingerprint under which crashes are counted held method, host, target and body, and not the caller; an answer to one tenant cleared what the other's request had done.

Change: the organisation of an identified request is part of its fingerprint, for all its keys.

--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -132,6 +132,13 @@
     return stableHash(text);
 }
 
+//! @brief The same request of two organisations is not one request: what one of them is answered
+//! says nothing about the other's.
+std::uint64_t fingerprintOfOrganisation(const ForwardRequest &request)
+{
+    return stableHash(std::to_string(request.m_fingerprint) + '\n' + request.m_organisation);
+}
+
 using HttpHeader = HttpHeaders::value_type;
 
 //! @brief What the headers of a request hold besides the fields of ForwardRequest.
@@ -248,6 +255,7 @@
         request.m_organisation = identity.m_organisation->m_name;
         request.m_priority = identity.m_organisation->m_priority;
         request.m_head += headers.m_organisation + ": " + request.m_organisation + "\r\n";
+        request.m_fingerprint = fingerprintOfOrganisation(request);
     }
     return std::nullopt;
 }
--- a/libs/gatewaynode/tests/callerrequeststest.cpp
+++ b/libs/gatewaynode/tests/callerrequeststest.cpp
@@ -246,6 +246,25 @@
     EXPECT_FALSE(timeOf("2", 429));
 }
 
+// Guards against a request that crashes targets and is cleared by the success of the same path and
+// body of another organisation, and against two nodes that count it as different ones.
+TEST(CallerRequests, TheFingerprintNamesTheOrganisation)
+{
+    RoutingTable table = *tableWithOrganisations();
+    Organisation other;
+    other.m_name = "other";
+    addOrganisation(table, other, std::vector<std::string>{"k-2", "k-3"});
+    const auto fingerprintFor = [&table](const std::string &key) {
+        std::optional<ForwardRefusal> refusal;
+        return parseFor(std::make_shared<const RoutingTable>(table), "/a/b",
+                        {{"Authorization", "Token " + key}}, refusal)
+            .m_request->m_fingerprint;
+    };
+    EXPECT_NE(fingerprintFor("k-1"), fingerprintFor("k-2"));
+    EXPECT_EQ(fingerprintFor("k-2"), fingerprintFor("k-3"));
+    EXPECT_EQ(fingerprintFor("k-1"), fingerprintFor("k-1"));
+}
+
 // Guards against a deployment without organisations whose callers lose their headers, and against a
 // 401 where the engine answers 404 or 503.
 TEST(CallerRequests, LeavesOtherRequestsAsTheyAre)
