Count crashes of orders whose callers have left

What callers saw: a request that crashes servers was never stopped while its callers left before each crash; orders of others that were at these servers were cut off.

Cause: with its caller, a request's attempts were closed and forgotten, so that no one saw how they ended.

Change: attempts of requests that are not idempotent and have been sent are detached when the caller leaves, for 400 ms at most, and their ends count as before. Attempts that are not sent yet, and those of idempotent requests, are cancelled at once as before. An answer to a detached attempt clears the request.

Open: crashes later than that, and those of idempotent requests.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -690,6 +690,11 @@
     //! @brief Cancels an attempt in flight; its result is no longer expected. If called while the
     //! end of the attempt is being reported, closes its connection instead of reusing it.
     virtual void abandon(std::uint64_t attempt) = 0;
+
+    //! @brief Returns whether an attempt in flight has been written to its connection, at least in
+    //! part.
+    virtual bool isSent(std::uint64_t attempt) const = 0;
+
     //! @brief Tests whether a target accepts a connection.
     virtual void probe(const TargetPointer &target) = 0;
     virtual void answer(const ForwardAnswer &answer) = 0;
--- a/libs/forwarding/src/attempts.cpp
+++ b/libs/forwarding/src/attempts.cpp
@@ -397,12 +397,26 @@
         Attempt &attempt = entry.second;
         if (attempt.m_pendingId == pendingId
             && (!subrequestIndex || attempt.m_subrequestIndex == *subrequestIndex)) {
-            attempt.m_pendingId = 0;
-            addTimer(now + detachedAttemptTimeout, TimerKind::DetachedTimeout, entry.first);
+            detachAttempt(now, entry.first, attempt);
         }
     }
 }
 
+void ForwardEngine::Implementation::detachSentAttempts(TimePoint now, std::uint64_t pendingId)
+{
+    for (std::pair<const std::uint64_t, Attempt> &entry : m_attempts) {
+        if (entry.second.m_pendingId == pendingId && m_output.isSent(entry.first)) {
+            detachAttempt(now, entry.first, entry.second);
+        }
+    }
+}
+
+void ForwardEngine::Implementation::detachAttempt(TimePoint now, std::uint64_t id, Attempt &attempt)
+{
+    attempt.m_pendingId = 0;
+    addTimer(now + detachedAttemptTimeout, TimerKind::DetachedTimeout, id);
+}
+
 void ForwardEngine::Implementation::cancelDetachedAttempt(TimePoint now, std::uint64_t id)
 {
     const std::unordered_map<std::uint64_t, Attempt>::iterator found = m_attempts.find(id);
--- a/libs/forwarding/src/crashattribution.cpp
+++ b/libs/forwarding/src/crashattribution.cpp
@@ -39,14 +39,9 @@
     target.m_lostRequests.clear();
 }
 
-void ForwardEngine::Implementation::clearRequest(TimePoint now, const PendingRequest &pending)
+void ForwardEngine::Implementation::clearRequest(TimePoint now, std::uint64_t fingerprint)
 {
-    // Later parts of a search matter only where there is something to clear.
-    if (pending.m_succeededCount > 1 && m_crashes.m_entries.empty()) {
-        return;
-    }
-    for (const CrashReport &report :
-         recordAnswer(m_crashes, now, pending.m_request->m_fingerprint)) {
+    for (const CrashReport &report : recordAnswer(m_crashes, now, fingerprint)) {
         ++m_statistics.m_clearedCrashes;
         m_output.publishCrash(report);
     }
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -136,6 +136,8 @@
     bool outlastsShutdown(TimePoint now, const PendingRequest &pending) const;
     bool acceptsInShutdown(TimePoint now, const PendingRequest &pending);
     void callerDisconnected(TimePoint now, std::uint64_t caller);
+    //! @brief Cancels the attempts of a request that are in flight and not detached.
+    void abandonAttempts(TimePoint now, std::uint64_t id);
     void advance(TimePoint now);
     void handleTimer(TimePoint now, const Timer &timer);
     void addTimer(TimePoint at, TimerKind kind, std::uint64_t id, std::size_t subrequestIndex = 0);
@@ -167,7 +169,7 @@
     // Crashes of targets (crashattribution.cpp)
     void recordLostRequest(TimePoint now, const Attempt &attempt);
     void recordCrashes(TimePoint now, Target &target);
-    void clearRequest(TimePoint now, const PendingRequest &pending);
+    void clearRequest(TimePoint now, std::uint64_t fingerprint);
     void shareCrashes(TimePoint now);
 
     // Latency statistics (timing.cpp)
@@ -207,6 +209,10 @@
     int inFlightLimit(const PendingRequest &pending, const ServiceState &service) const;
     void detachAttempts(TimePoint now, std::uint64_t pendingId,
                         std::optional<std::size_t> subrequestIndex);
+    //! @brief Detaches the attempts that have been sent, so that their ends still show whether they
+    //! crash their targets. A target may run them whether or not their connections are closed.
+    void detachSentAttempts(TimePoint now, std::uint64_t pendingId);
+    void detachAttempt(TimePoint now, std::uint64_t id, Attempt &attempt);
     void cancelDetachedAttempt(TimePoint now, std::uint64_t attempt);
 
     // Results and answers (outcomes.cpp)
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -350,9 +350,21 @@
     const std::uint64_t id = found->second;
     m_pendingIdByCaller.erase(found);
     ++m_statistics.m_callerDisconnects;
-    if (const PendingRequest *pending = findPendingRequest(id)) {
-        logDecision(now, *pending, 0, "caller-gone", "closed", {}, 0);
+    const PendingRequest *pending = findPendingRequest(id);
+    if (pending == nullptr) {
+        return;
+    }
+    logDecision(now, *pending, 0, "caller-gone", "closed", {}, 0);
+    if (!pending->m_route->m_idempotent) {
+        detachSentAttempts(now, id);
     }
+    removeFromQueues(*pending);
+    m_pendingRequests.erase(id);
+    abandonAttempts(now, id);
+}
+
+void ForwardEngine::Implementation::abandonAttempts(TimePoint now, std::uint64_t id)
+{
     std::vector<ServiceState *> services;
     for (std::unordered_map<std::uint64_t, Attempt>::iterator it = m_attempts.begin();
          it != m_attempts.end();) {
@@ -366,10 +378,6 @@
         m_output.abandon(it->first);
         it = m_attempts.erase(it);
     }
-    if (const PendingRequest *pending = findPendingRequest(id)) {
-        removeFromQueues(*pending);
-    }
-    m_pendingRequests.erase(id);
     for (ServiceState *service : services) {
         dispatchQueue(now, *service);
     }
--- a/libs/forwarding/src/outcomes.cpp
+++ b/libs/forwarding/src/outcomes.cpp
@@ -164,6 +164,8 @@
             }
             subrequestAttemptFailed(now, *pending, attempt.m_subrequestIndex);
         }
+    } else if (result.m_outcome == AttemptOutcome::Success && !m_crashes.m_entries.empty()) {
+        clearRequest(now, attempt.m_request->m_fingerprint);
     }
     dispatchQueue(now, *attempt.m_service);
 }
@@ -181,7 +183,10 @@
     subrequest.m_state = SubrequestState::Succeeded;
     subrequest.m_reply = std::move(reply);
     ++pending.m_succeededCount;
-    clearRequest(now, pending);
+    // Later parts of a search matter only where there is something to clear.
+    if (pending.m_succeededCount == 1 || !m_crashes.m_entries.empty()) {
+        clearRequest(now, pending.m_request->m_fingerprint);
+    }
     if (subrequest.m_attemptsInFlight > 0) {
         detachAttempts(now, pending.m_id, index);
         subrequest.m_attemptsInFlight = 0;
--- a/libs/forwarding/tests/enginecrashtest.cpp
+++ b/libs/forwarding/tests/enginecrashtest.cpp
@@ -98,6 +98,55 @@
     EXPECT_EQ(crashes, 3) << "the other nodes are not told of all crashes";
 }
 
+// Guards against a request that crashes one target after another while its caller leaves before
+// each crash, so that nothing waits for the end of its attempts.
+TEST_F(EngineCrash, CountsCrashesAfterTheCallerHasLeft)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        const std::uint64_t caller = submit("/orders/poison");
+        const ForwardCommand order = lastOrder();
+        advanceTime(100ms);
+        m_engine.callerDisconnected(m_now, caller);
+        EXPECT_TRUE(m_output.m_abandoned.empty());
+        advanceTime(200ms);
+        endAttempt(order, ForwardEnd::Closed);
+        advanceTime(100ms);
+        ASSERT_EQ(m_output.m_probed.size(), static_cast<std::size_t>(crash) + 1);
+        m_engine.probeEnded(m_now, m_output.m_probed.back(), false);
+        recordReachable(*m_output.m_probed.back(), m_now);
+    }
+    EXPECT_TRUE(isRefused("/orders/poison"));
+    EXPECT_FALSE(isRefused("/orders/other"));
+}
+
+// Guards against an order that is sent after its caller has left, and against one at a silent
+// target that holds its place for ever.
+TEST_F(EngineCrash, CancelsWhatIsNotSentOrDoesNotEndAfterTheCallerHasLeft)
+{
+    m_engine.callerDisconnected(m_now, submit("/orders/silent"));
+    EXPECT_TRUE(m_output.m_abandoned.empty());
+    advanceTime(500ms);
+    EXPECT_EQ(m_output.m_abandoned, std::vector<std::uint64_t>{lastOrder().m_attempt});
+    m_output.m_connectionsAreOpen = false;
+    m_engine.callerDisconnected(m_now, submit("/orders/unsent"));
+    EXPECT_EQ(m_output.m_abandoned.back(), lastOrder().m_attempt);
+}
+
+// Guards against a request that stays suspected although a target has answered it after its caller
+// had left.
+TEST_F(EngineCrash, AnAnswerAfterTheCallerHasLeftClearsTheRequest)
+{
+    submit("/orders/popular");
+    endAttempt(lastOrder(), ForwardEnd::Closed);
+    advanceTime(100ms);
+    m_engine.probeEnded(m_now, m_output.m_probed.back(), false);
+    ASSERT_FALSE(m_engine.crashes().m_entries.empty());
+    const std::uint64_t caller = submit("/orders/popular");
+    m_engine.callerDisconnected(m_now, caller);
+    replySuccess(lastOrder());
+    EXPECT_TRUE(m_engine.crashes().m_entries.empty());
+}
+
 // Guards against quarantining a harmless request because its replies were lost in transit.
 TEST_F(EngineCrash, DoesNotCountALostReplyAsACrash)
 {
--- a/libs/forwarding/tests/enginefixture.cpp
+++ b/libs/forwarding/tests/enginefixture.cpp
@@ -56,6 +56,11 @@
     m_abandoned.push_back(attempt);
 }
 
+bool RecordingOutput::isSent(std::uint64_t /*attempt*/) const
+{
+    return m_connectionsAreOpen;
+}
+
 void RecordingOutput::probe(const TargetPointer &target)
 {
     m_probed.push_back(target);
--- a/libs/forwarding/tests/enginefixture.h
+++ b/libs/forwarding/tests/enginefixture.h
@@ -15,6 +15,7 @@
 public:
     void send(const ForwardCommand &order) override;
     void abandon(std::uint64_t attempt) override;
+    bool isSent(std::uint64_t attempt) const override;
     void probe(const TargetPointer &target) override;
     void answer(const ForwardAnswer &answer) override;
     void record(const ForwardDecision &decision) override;
@@ -22,6 +23,7 @@
 
     std::vector<ForwardCommand> m_orders;
     std::vector<std::uint64_t> m_abandoned;
+    bool m_connectionsAreOpen = true; //!< Orders are written at once.
     std::vector<TargetPointer> m_probed;
     std::vector<ForwardAnswer> m_answers;
     std::vector<std::string> m_events;
--- a/libs/gatewaynode/src/details/nodeimplementation.h
+++ b/libs/gatewaynode/src/details/nodeimplementation.h
@@ -32,6 +32,7 @@
     // ForwardOutput
     void send(const ForwardCommand &command) override;
     void abandon(std::uint64_t attempt) override;
+    bool isSent(std::uint64_t attempt) const override;
     void probe(const TargetPointer &target) override;
     void answer(const ForwardAnswer &answer) override;
     void record(const ForwardDecision &decision) override;
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -339,6 +339,11 @@
     m_client.abandon(attempt);
 }
 
+bool GatewayNode::Implementation::isSent(std::uint64_t attempt) const
+{
+    return m_client.isSent(attempt);
+}
+
 void GatewayNode::Implementation::probe(const TargetPointer &target)
 {
     m_client.probe(connectionKey(target->m_entry), endpointOf(target->m_entry),
--- a/libs/gatewaynode/tests/silentoutput.h
+++ b/libs/gatewaynode/tests/silentoutput.h
@@ -10,6 +10,10 @@
 public:
     void send(const ForwardCommand & /*command*/) override { }
     void abandon(std::uint64_t /*attempt*/) override { }
+    bool isSent(std::uint64_t /*attempt*/) const override
+    {
+        return true;
+    }
     void probe(const TargetPointer & /*target*/) override { }
     void answer(const ForwardAnswer & /*answer*/) override { }
     void record(const ForwardDecision & /*decision*/) override { }
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -321,6 +321,10 @@
     //! @brief Closes the connection of an attempt in flight; its handler is not called.
     void abandon(std::uint64_t attempt);
 
+    //! @brief Returns whether an attempt in flight has a connection on which its request is being
+    //! or has been written.
+    bool isSent(std::uint64_t attempt) const;
+
     //! @brief Closes the idle connections to all targets, for example after a suspension.
     void dropIdle();
 
--- a/libs/transport/src/forwardclient.cpp
+++ b/libs/transport/src/forwardclient.cpp
@@ -70,6 +70,7 @@
     {
         LinkPointer m_link;
         ForwardHandler m_handler;
+        bool m_isSent = false;
     };
 
     Implementation(asio::io_context &context, const ForwardClientOptions &options)
@@ -241,7 +242,9 @@
 
     void exchange(std::uint64_t id, std::string_view text, bool expectNoBody)
     {
-        m_flights[id].m_link->m_connection->exchange(
+        Flight &flight = m_flights[id];
+        flight.m_isSent = true;
+        flight.m_link->m_connection->exchange(
             text, ExchangeOptions{true, expectNoBody},
             [weak = weak_from_this(), id](ExchangeEnd end, const ReplyContent &reply) {
                 if (const std::shared_ptr<Implementation> self = weak.lock()) {
@@ -347,6 +350,13 @@
     m_implementation->abandon(attempt);
 }
 
+bool ForwardClient::isSent(std::uint64_t attempt) const
+{
+    const std::unordered_map<std::uint64_t, Implementation::Flight>::const_iterator found =
+        m_implementation->m_flights.find(attempt);
+    return found != m_implementation->m_flights.end() && found->second.m_isSent;
+}
+
 void ForwardClient::dropIdle()
 {
     m_implementation->dropIdle();
