Name a reply that is given up by its exchange, and parse in the default memory

Cause: a review of the change. A reply was named by the address of its reservation, which a later reply may have; and the limited memory of the parser took each piece with an alignment of its own, which is slower than the default memory of the JSON library.

Change: the exchange's number names the reply; the limit counts and passes on to the default memory.

--- a/libs/jsonreader/src/jsonreader.cpp
+++ b/libs/jsonreader/src/jsonreader.cpp
@@ -30,7 +30,7 @@
         if (bytes > m_leftBytes) {
             throw std::bad_alloc();
         }
-        void *const memory = ::operator new(bytes, std::align_val_t(alignment));
+        void *const memory = m_heap->allocate(bytes, alignment);
         m_leftBytes -= bytes;
         return memory;
     }
@@ -38,7 +38,7 @@
     void do_deallocate(void *memory, std::size_t bytes, std::size_t alignment) override
     {
         m_leftBytes += bytes;
-        ::operator delete(memory, std::align_val_t(alignment));
+        m_heap->deallocate(memory, bytes, alignment);
     }
 
     bool do_is_equal(const json::memory_resource &other) const noexcept override
@@ -46,6 +46,7 @@
         return this == &other;
     }
 
+    json::storage_ptr m_heap; //!< The default one.
     std::size_t m_leftBytes;
 };
 
--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -79,6 +79,7 @@
         reportNotSent(std::move(handler));
         return;
     }
+    ++m_exchangeNumber;
     m_options = options;
     m_parser.emplace(m_content, m_replyLimit, m_options);
     m_handler = std::move(handler);
@@ -172,20 +173,19 @@
         m_reservation->add(bytes);
         return;
     }
-    const std::shared_ptr<ReplyReservation *> own = std::make_shared<ReplyReservation *>();
-    m_reservation = std::make_shared<ReplyReservation>(m_budget, [weak = weak_from_this(), own] {
-        if (const std::shared_ptr<ClientConnection> self = weak.lock()) {
-            asio::post(self->m_socket.get_executor(),
-                       [self, reservation = *own] { self->giveUpReply(reservation); });
-        }
-    });
-    *own = m_reservation.get();
+    m_reservation = std::make_shared<ReplyReservation>(
+        m_budget, [weak = weak_from_this(), exchange = m_exchangeNumber] {
+            if (const std::shared_ptr<ClientConnection> self = weak.lock()) {
+                asio::post(self->m_socket.get_executor(),
+                           [self, exchange] { self->giveUpReply(exchange); });
+            }
+        });
     m_reservation->add(m_replyBytes);
 }
 
-void ClientConnection::giveUpReply(const ReplyReservation *reservation)
+void ClientConnection::giveUpReply(std::uint64_t exchange)
 {
-    if (m_handler && m_reservation.get() == reservation) {
+    if (m_handler && exchange == m_exchangeNumber) {
         finish(ExchangeEnd::Malformed);
     }
 }
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -79,8 +79,8 @@
     void handleRead(boost::system::error_code error, std::size_t bytes);
     //! @brief Counts bytes of the current reply in the budget.
     void reserve(std::size_t bytes);
-    //! @brief Ends the current exchange if its reply has this reservation.
-    void giveUpReply(const ReplyReservation *reservation);
+    //! @brief Ends the exchange, unless it has ended.
+    void giveUpReply(std::uint64_t exchange);
     void parseBuffered();
     //! @brief Parses what has arrived. Returns false if it is no reply.
     bool parseMessage();
@@ -101,7 +101,8 @@
     std::size_t m_replyBytes = 0;                    //!< Received of the current reply.
     boost::beast::flat_buffer m_buffer;
     std::optional<ReplyParser> m_parser;
-    ExchangeOptions m_options; //!< Of the current exchange.
+    std::uint64_t m_exchangeNumber = 0; //!< Of the current exchange.
+    ExchangeOptions m_options;          //!< Of the current exchange.
     ReplyContent m_content;
     ExchangeHandler m_handler;
     std::function<void()> m_idleCloseHandler;
--- a/libs/transport/src/replybudget.cpp
+++ b/libs/transport/src/replybudget.cpp
@@ -9,7 +9,7 @@
 
 std::shared_ptr<ReplyBudget> makeReplyBudget(std::size_t limitBytes)
 {
-    const std::shared_ptr<ReplyBudget> budget = std::make_shared<ReplyBudget>();
+    std::shared_ptr<ReplyBudget> budget = std::make_shared<ReplyBudget>();
     budget->m_limitBytes = limitBytes;
     return budget;
 }
