Move the options of a node and its error responses into files of their own

Change: nodeoptions.cpp derives the options of the parts of a node; errorresponse.cpp has the one copy of that function. No behaviour changes.

--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -2,7 +2,9 @@
 #include <ctime>
 
 #include "details/callerrequests.h"
+#include "details/errorresponse.h"
 #include "details/nodeimplementation.h"
+#include "details/nodeoptions.h"
 
 namespace arbutusgrade {
 
@@ -15,73 +17,8 @@
 // The VM counts as suspended if the steady clock falls behind the time since boot by this much.
 constexpr Duration suspensionThreshold = std::chrono::milliseconds(300);
 
-// Unacknowledged data closes the connection to a caller after this time.
-constexpr std::chrono::milliseconds callerPeerTimeout{20'000};
-
 constexpr int quotaExceededStatus = 429;
 
-HttpServerOptions callerOptions(const CallerLimits &limits)
-{
-    HttpServerOptions options;
-    options.m_headerLimitBytes = limits.m_headerBytes;
-    options.m_bodyLimitBytes = limits.m_bodyBytes;
-    options.m_readTimeout = limits.m_headerTimeout;
-    options.m_idleTimeout = limits.m_idleTimeout;
-    options.m_peerTimeout = callerPeerTimeout;
-    return options;
-}
-
-ForwardOptions engineOptions(const GatewaySettings &settings,
-                             const CoordinationSettings &coordination)
-{
-    ForwardOptions options;
-    options.m_node = settings.m_node;
-    options.m_dataCentre = settings.m_dataCentre;
-    options.m_budget.m_ratio = settings.m_extraArrivalRatio;
-    options.m_budget.m_slack = settings.m_extraArrivalSlack;
-    options.m_budget.m_window = settings.m_extraArrivalWindow;
-    options.m_warmup = coordination.m_warmup;
-    options.m_drainBound = settings.m_drainBound;
-    return options;
-}
-
-//! @brief Derives the options of the watch from the bounds in the settings.
-//!
-//! Changes are batched for a quarter of the time within which they must take effect. The wait time
-//! of a watch is short enough that, if the store loses the watch in an outage, the node reconnects
-//! and is up to date again within the contact bound.
-PrefixWatcherOptions watcherOptions(const GatewaySettings &settings)
-{
-    constexpr int batchDelayDivisor = 4;
-    constexpr std::chrono::milliseconds reconnectTime{1'000};
-    constexpr std::chrono::milliseconds minimumWatchTimeout{500};
-    PrefixWatcherOptions options;
-    options.m_watchTimeout = std::max(minimumWatchTimeout, settings.m_contactBound - reconnectTime);
-    options.m_batchDelay = settings.m_changeBound / batchDelayDivisor;
-    return options;
-}
-
-//! @brief Options of the watch of a relay, whose data must be fresher than that of other nodes.
-PrefixWatcherOptions relayWatcherOptions(const GatewaySettings &settings)
-{
-    PrefixWatcherOptions options;
-    options.m_watchTimeout = relayWait;
-    options.m_batchDelay = relayPause(settings.m_changeBound);
-    return options;
-}
-
-RelayedStoreOptions relayOptions(const GatewaySettings &settings, const DeploymentFormat &format,
-                                 const CoordinationSettings &coordination)
-{
-    RelayedStoreOptions options;
-    options.m_node = settings.m_node;
-    options.m_dataCentre = settings.m_dataCentre;
-    options.m_prefix = format.m_watchedPrefix;
-    options.m_changeBound = settings.m_changeBound;
-    options.m_coordination = coordination;
-    return options;
-}
-
 //! @brief Endpoint of the target. The address is known to be valid, as the entry was decoded.
 boost::asio::ip::tcp::endpoint endpointOf(const TargetEntry &entry)
 {
@@ -97,43 +34,11 @@
            + std::to_string(entry.m_started);
 }
 
-//! @brief Returns what this node is registered with; nothing without a link.
-std::optional<RegisteredNode> ownRegistration(const GatewaySettings &settings,
-                                              const CoordinationSettings &coordination)
-{
-    if (!coordination.m_link) {
-        return std::nullopt;
-    }
-    return RegisteredNode{settings.m_node, settings.m_dataCentre, *coordination.m_link};
-}
-
-std::vector<OrganisationLimit> quotaLimits(const RoutingTable &table)
-{
-    std::vector<OrganisationLimit> limits;
-    for (const Organisation &organisation : table.m_organisations) {
-        // Without a rate there is no limit, whatever the burst.
-        if (organisation.m_ratePerSecond <= 0.0) {
-            continue;
-        }
-        limits.push_back(OrganisationLimit{
-            organisation.m_name, QuotaLimit{organisation.m_ratePerSecond, organisation.m_burst}});
-    }
-    return limits;
-}
-
 std::string crashPrefix(const DeploymentFormat &format)
 {
     return format.m_writablePrefix + "crashes/";
 }
 
-HttpResponse errorResponse(int status, std::string_view message)
-{
-    HttpResponse response;
-    response.m_status = status;
-    response.m_body = R"({"error":")" + std::string(message) + "\"}";
-    return response;
-}
-
 } // namespace
 
 TimePoint bootTimeNow() noexcept
--- a/libs/gatewaynode/src/relayserver.cpp
+++ b/libs/gatewaynode/src/relayserver.cpp
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "details/errorresponse.h"
+
 namespace arbutusgrade {
 
 namespace {
@@ -30,14 +32,6 @@
     return options;
 }
 
-HttpResponse errorResponse(int status, std::string_view message)
-{
-    HttpResponse response;
-    response.m_status = status;
-    response.m_body = R"({"error":")" + std::string(message) + "\"}";
-    return response;
-}
-
 } // namespace
 
 RelayServer::RelayServer(boost::asio::io_context &context, std::string_view prefix,
