--- a/review/13/case-3.cpp
+++ b/review/14/case-3.cpp
@@ -1,4 +1,4 @@
-//! @brief Case 13: a traffic split goes on with what an earlier version of the configuration left
+//! @brief Case 14: a traffic split goes on with what an earlier version of the configuration left
 //! over, so that a service without weight gets requests.
 
 #include <iostream>
