Review case 15: a report that the store does late brings back a backend that left

Cause: the sequence and the start of a removed entry are compared with those of an entry that comes back only after a restore of the store. Change: a script with one write done 5.8 s late.

--- a/review/15/case-3.cpp
+++ b/review/15/case-3.cpp
@@ -1,11 +1,8 @@
-//! @brief Case 15: entries of another writer, which name no backend, take nodes over their memory.
+//! @brief Case 15: a report of a backend that the store executes late brings the backend back into
+//! use after it has left.
 
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
-
-#include <csignal>
 
 #include "../standins-3/keptload.h"
 
@@ -14,23 +11,26 @@
 using namespace arbutusgrade::review3;
 using std::chrono::seconds;
 
+constexpr int requestersOfNode = 4;
+constexpr milliseconds workTime{60};
 constexpr milliseconds calmTime = seconds(6); // Longer than contactMs.
-constexpr milliseconds longestWritingTime = seconds(60);
-constexpr milliseconds timeAfter = seconds(35);
-constexpr milliseconds lookInterval{20};
-constexpr milliseconds restartDelay = seconds(1);
-
-// Of the site: memoryMb in the settings, valueBytes of the store.
-constexpr long memoryLimitKilobytes = 260L * 1024;
-constexpr std::size_t valueBytes = 1'000'000; // At most 1,048,576.
-constexpr int entryCount = 300;
-constexpr int entriesOfCall =
-    3; // Their text is below 4 MiB, which the stand-in of the store takes.
-
-// As in the rule Fault.
-constexpr int endsOfOneMachine = 3;
-constexpr int machinesWithEnds = 2;
 
+// Of the site.
+constexpr milliseconds reportInterval{1'200};
+constexpr milliseconds silenceOfGoneBackend = 3 * reportInterval;
+constexpr milliseconds drainTime{3'000};
+constexpr milliseconds contactTime{4'000};
+
+// From the moment at which the report is sent whose answer is lost.
+constexpr milliseconds removalAt = contactTime + milliseconds(300);
+constexpr milliseconds lateExecutionAt{5'800}; // 1 to 6 s.
+constexpr milliseconds endAt = lateExecutionAt + silenceOfGoneBackend;
+
+// In the reports.
+constexpr int firstConcurrency = 6;
+constexpr int laterConcurrency = 5;
+
+const std::string leavingBackend = "i-vaktplan-1";
 const std::string config = R"({"version":7,"routes":[
  {"name":"roster","host":"leno12.example","prefix":"/rany330/","routeType":"safe",
   "timeoutMs":10000,"targetLatencyMs":600,"priority":2,"service":"vaktplan","maxAttempts":2}],
@@ -38,93 +38,145 @@
  {"name":"vaktplan","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}],
  "limits":)" + limitsText() + "}";
 
-long residentKilobytes(pid_t process)
+//! @brief What arrived at the backend that leaves.
+struct Arrivals
+{
+    Record &m_record;
+    std::mutex m_mutex;
+    std::vector<Clock::time_point> m_times;
+
+    std::string answer(const Message &request, const std::string &id)
+    {
+        if (isForOther(request, id)) {
+            return wrongBackendText(request);
+        }
+        const std::string attempt = request.header("X-Attempt-Id");
+        if (id == leavingBackend) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_times.push_back(Clock::now());
+            m_record.write(attempt + " arrives at " + id);
+        }
+        std::this_thread::sleep_for(workTime);
+        return answerText(request, id + ".07.5a2." + attempt, "roster");
+    }
+    int countBetween(Clock::time_point begin, Clock::time_point end)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        int count = 0;
+        for (const Clock::time_point time : m_times) {
+            count += time > begin && time <= end ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+struct Answers
 {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmRSS:")) {
-            return std::atol(line.c_str() + std::string("VmRSS:").size());
+    std::atomic<int> m_good{0};
+    std::atomic<int> m_other{0};
+};
+
+void requestRoster(const Node &node, const std::string &name, const std::atomic<bool> &stopping,
+                   Answers &answers)
+{
+    int number = 0;
+    while (!stopping) {
+        Connection connection(node.address(), node.port());
+        bool isOpen = connection.isOpen();
+        while (!stopping && isOpen) {
+            const std::string id = name + '-' + std::to_string(++number);
+            Message answer;
+            isOpen = connection.send(requestText("GET", "/rany330/2f", id, seconds(10)))
+                     && connection.read(answer, seconds(10)) == ReadEnd::Whole;
+            const bool isGood = isOpen && answer.status() == 200;
+            ++(isGood ? answers.m_good : answers.m_other);
+            isOpen = isOpen && !answer.endsConnection();
+            std::this_thread::sleep_for(milliseconds(40));
         }
     }
-    return 0;
 }
 
-//! @brief Kills a process that takes more memory than its machine has, and starts it again, as the
-//! platform does.
-class Platform
+//! @brief Writes the reports of the backends.
+class Reports
 {
 public:
-    Platform(Record &record, Site &site) : m_record(record), m_site(site) { }
+    Reports(Record &record, Site &site, std::vector<std::unique_ptr<Backend>> &backends)
+        : m_record(record), m_site(site), m_backends(backends)
+    {
+    }
 
-    void run(milliseconds time)
+    bool writeAll()
     {
-        const Clock::time_point end = Clock::now() + time;
-        while (Clock::now() < end) {
-            for (const std::unique_ptr<Node> &node : m_site.nodes()) {
-                look(*node);
-            }
-            std::this_thread::sleep_for(lookInterval);
+        ++m_sequence;
+        bool isTaken = true;
+        for (const std::unique_ptr<Backend> &backend : m_backends) {
+            const bool isGone = m_hasLeft && backend->id() == leavingBackend;
+            isTaken = isTaken && (isGone || write(*backend, m_sequence));
         }
+        return isTaken;
     }
-
-    //! @brief Number of nodes that have ended so often.
-    int nodesThatEnded(int times) const
+    //! @brief As writeAll(), but the report of the backend that is to leave is not executed.
+    void loseOne()
     {
-        int nodes = 0;
-        for (const std::pair<const std::string, int> &ends : m_ends) {
-            nodes += ends.second >= times ? 1 : 0;
+        ++m_sequence;
+        m_lostSequence = m_sequence;
+        for (const std::unique_ptr<Backend> &backend : m_backends) {
+            if (backend->id() != leavingBackend) {
+                write(*backend, m_sequence);
+            }
         }
-        return nodes;
+        m_record.write(leavingBackend + " sends report " + std::to_string(m_lostSequence)
+                       + "; the store does not answer it and has not executed it yet");
     }
-    long peakKilobytes() const
+    void executeLost()
     {
-        return m_peak;
+        m_record.write("the store executes report " + std::to_string(m_lostSequence) + " of "
+                       + leavingBackend);
+        write(*m_backends.front(), m_lostSequence);
+    }
+    bool removeEntry()
+    {
+        m_hasLeft = true;
+        const bool isTaken = m_site.remove("servers/" + leavingBackend);
+        m_record.write("the store confirms that the entry of " + leavingBackend + " is removed");
+        return isTaken;
     }
 
 private:
-    void look(Node &node)
+    //! @brief All reports after the lost one say another concurrency, so that more than `sequence`
+    //! changes with them.
+    bool write(const Backend &backend, int sequence)
     {
-        if (node.process().ended()) {
-            const auto restart = m_restartAt.find(node.name());
-            if (restart == m_restartAt.end()) {
-                m_restartAt[node.name()] = Clock::now() + restartDelay;
-                ++m_ends[node.name()];
-                m_record.write(node.name() + " ENDED, for the "
-                               + std::to_string(m_ends[node.name()]) + ". time");
-            } else if (Clock::now() >= restart->second) {
-                m_restartAt.erase(restart);
-                node.start();
-                m_record.write(node.name() + " started again by the platform");
-            }
-            return;
-        }
-        const long memory = residentKilobytes(node.process().id());
-        m_peak = std::max(m_peak, memory);
-        if (memory > memoryLimitKilobytes) {
-            m_record.write(node.name() + " takes " + std::to_string(memory)
-                           + " kB, more than memoryMb; the platform kills it");
-            node.process().signal(SIGKILL);
-        }
+        const bool isAfterLost = m_lostSequence > 0 && sequence > m_lostSequence;
+        return m_site.putBackend(
+            backend, "vaktplan",
+            StatusReport{sequence, isAfterLost ? laterConcurrency : firstConcurrency});
     }
 
     Record &m_record;
     Site &m_site;
-    std::map<std::string, Clock::time_point> m_restartAt; //!< By node.
-    std::map<std::string, int> m_ends;                    //!< By node.
-    long m_peak = 0;
+    std::vector<std::unique_ptr<Backend>> &m_backends;
+    int m_sequence = 0;
+    int m_lostSequence = 0;
+    bool m_hasLeft = false;
 };
 
 int run(const std::string &folder)
 {
     Record record(folder + "/record.txt");
     Site site;
-    KeptLoad load(record, "/rany330/", milliseconds(250));
+    Arrivals arrivals{record, {}, {}};
+    std::vector<std::unique_ptr<Backend>> backends;
     if (!site.startStore() || !site.put("op/config", config)) {
         return caseFailed;
     }
-    for (const std::string id : {"i-vaktplan-1", "i-vaktplan-2"}) {
-        load.addBackend(id);
-        site.putBackend(*load.backends().back(), "vaktplan");
+    for (const std::string id : {"i-vaktplan-1", "i-vaktplan-2", "i-vaktplan-3"}) {
+        backends.push_back(std::make_unique<Backend>(
+            id, [&arrivals, id](const Message &request) { return arrivals.answer(request, id); }));
+    }
+    Reports reports(record, site, backends);
+    if (!reports.writeAll()) {
+        return caseFailed;
     }
     for (const std::string name : {"front-1", "front-2"}) {
         Node &node = site.addNode(name);
@@ -133,47 +185,71 @@
             return caseFailed;
         }
     }
+    std::atomic<bool> stopping{false};
+    Answers answers;
+    std::vector<std::thread> requesters;
     for (const std::unique_ptr<Node> &node : site.nodes()) {
-        load.start(*node, 6);
-    }
-    Platform platform(record, site);
-    platform.run(calmTime);
-    std::atomic<bool> isWritten{false};
-    std::thread writer([&site, &record, &isWritten] {
-        if (!hasTrouble()) {
-            return;
+        for (int number = 0; number < requestersOfNode; ++number) {
+            const std::string name = node->name() + '-' + std::to_string(number);
+            requesters.emplace_back([&node, &stopping, &answers, name] {
+                requestRoster(*node, name, stopping, answers);
+            });
         }
-        record.write("another writer begins to write entries");
-        const std::string value(valueBytes, 'x');
-        bool isTaken = true;
-        for (int number = 0; number < entryCount && isTaken; number += entriesOfCall) {
-            std::vector<std::pair<std::string, std::string>> items;
-            for (int item = number; item < number + entriesOfCall; ++item) {
-                items.emplace_back("servers/other-" + std::to_string(item), value);
-            }
-            isTaken = site.putAll(items);
-        }
-        isWritten = isTaken;
-        record.write("another writer has written its entries");
-    });
-    const Clock::time_point longestWriting = Clock::now() + longestWritingTime;
-    while (hasTrouble() && !isWritten && Clock::now() < longestWriting) {
-        platform.run(lookInterval);
-    }
-    platform.run(timeAfter);
-    writer.join();
-    load.stop();
-    const std::string result =
-        "nodes that ended three times or more " + std::to_string(platform.nodesThatEnded(3))
-        + ", once or more " + std::to_string(platform.nodesThatEnded(1)) + ", largest memory "
-        + std::to_string(platform.peakKilobytes()) + " kB, requests answered "
-        + std::to_string(load.answered()) + ", lost " + std::to_string(load.lost());
+    }
+    for (milliseconds time{0}; time < calmTime; time += reportInterval) {
+        reports.writeAll();
+        std::this_thread::sleep_for(reportInterval);
+    }
+    const Clock::time_point start = Clock::now();
+    if (hasTrouble()) {
+        reports.loseOne();
+    } else {
+        reports.writeAll();
+    }
+    // The disruption of the store is over. The reports go on.
+    for (milliseconds at = reportInterval; at < removalAt; at += reportInterval) {
+        std::this_thread::sleep_until(start + at);
+        reports.writeAll();
+    }
+    std::this_thread::sleep_until(start + removalAt);
+    bool isTaken = reports.removeEntry();
+    const Clock::time_point removal = Clock::now();
+    std::this_thread::sleep_until(start + 4 * reportInterval);
+    reports.writeAll();
+    std::this_thread::sleep_until(start + lateExecutionAt);
+    if (hasTrouble()) {
+        reports.executeLost();
+    }
+    for (milliseconds at = 5 * reportInterval; at < endAt; at += reportInterval) {
+        std::this_thread::sleep_until(start + at);
+        reports.writeAll();
+    }
+    std::this_thread::sleep_until(start + endAt);
+    if (hasTrouble()) {
+        // Three intervals of silence since the late report.
+        isTaken = isTaken && reports.removeEntry();
+    }
+    std::this_thread::sleep_for(seconds(2));
+    stopping = true;
+    for (std::thread &requester : requesters) {
+        requester.join();
+    }
+    const int before = arrivals.countBetween(start, removal);
+    const int late = arrivals.countBetween(removal + drainTime, Clock::now());
+    const int lateOfFirst =
+        arrivals.countBetween(removal + drainTime, removal + silenceOfGoneBackend);
+    const std::string result = "arrivals at " + leavingBackend + " before its entry was removed "
+                               + std::to_string(before) + ", later than drainMs after it "
+                               + std::to_string(late) + ", of these " + std::to_string(lateOfFirst)
+                               + " within three report intervals of it; requests answered well "
+                               + std::to_string(answers.m_good) + ", otherwise "
+                               + std::to_string(answers.m_other);
     record.write(result);
     std::cout << result << std::endl;
-    if (load.answered() == 0 || (hasTrouble() && !isWritten)) {
+    if (!isTaken || before == 0) {
         return caseFailed;
     }
-    return platform.nodesThatEnded(endsOfOneMachine) >= machinesWithEnds ? ruleBroken : ruleHeld;
+    return late > 0 ? ruleBroken : ruleHeld;
 }
 
 } // namespace
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -121,6 +121,13 @@
     std::thread m_acceptor;
 };
 
+//! @brief What changes from one status report of a backend to the next.
+struct StatusReport
+{
+    int m_sequence = 1; //!< Rises with each report.
+    int m_concurrency = 6;
+};
+
 //! @brief A child process.
 class Process
 {
@@ -197,9 +204,9 @@
     bool startStore();
     //! @brief Writes a key as the operator or a backend does. Returns whether the store took it.
     bool put(const std::string &key, const std::string &value);
-    //! @brief Writes several keys in one call; the store takes 32 at most.
-    bool putAll(const std::vector<std::pair<std::string, std::string>> &items);
-    bool putBackend(const Backend &backend, const std::string &service);
+    bool putBackend(const Backend &backend, const std::string &service, StatusReport report = {});
+    //! @brief Removes a key. Returns whether the store took it.
+    bool remove(const std::string &key);
     Node &addNode(const std::string &name);
     std::vector<std::unique_ptr<Node>> &nodes()
     {
@@ -211,6 +218,8 @@
     }
 
 private:
+    bool change(const std::string &body);
+
     std::string m_directory;
     Process m_store;
     std::uint16_t m_storePort = 0;
