Bound the fields of replies, and end one connection for an exception

The limit of the reply parser covers the header as long as it arrives in one piece; trailers, and fields that arrive one by one, were bounded in number only. The writer of responses throws for a field above 64 KiB, nothing caught it, and the process ended. The receipts of a search were joined into one field, so that parts with long receipts did the same.

Change: fields of a reply count against the limit of 16 KiB together, once for the header and once for the trailers. Receipts are written in several fields. An exception while a reply, a datagram or a change of the store is handled ends that connection, datagram or listing, is counted, and the rest goes on; one that leaves a handler elsewhere is logged. Logged request ids are bounded.

--- a/libs/gatewaynode/src/callerrequests.cpp
+++ b/libs/gatewaynode/src/callerrequests.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <span>
+#include <utility>
 
 #include <boost/beast/core/string.hpp>
 
@@ -107,16 +109,22 @@
     return text.data();
 }
 
-std::string joinReceipts(const std::vector<std::string> &receipts)
+//! @brief Writes the receipts as a list, in as many fields as it takes to keep each one short.
+void addReceipts(HttpHeaders &headers, const std::string &name,
+                 std::span<const std::string> receipts)
 {
+    // Many recipients read fields of up to 8 KiB, and the writer throws for those above 64 KiB.
+    constexpr std::size_t fieldLimitBytes = 4 * 1024;
+    constexpr std::string_view separator = ", ";
     std::string joined;
     for (const std::string &receipt : receipts) {
-        if (!joined.empty()) {
-            joined += ", ";
+        if (!joined.empty() && joined.size() + receipt.size() > fieldLimitBytes) {
+            headers.emplace_back(name, std::exchange(joined, {}));
         }
+        joined += joined.empty() ? std::string_view() : separator;
         joined += receipt;
     }
-    return joined;
+    headers.emplace_back(name, std::move(joined));
 }
 
 bool hasBody(const HttpRequest &request)
@@ -318,7 +326,7 @@
     }
     if (answer.m_kind == AnswerKind::Merged) {
         response.m_contentType = "application/octet-stream";
-        response.m_headers.emplace_back(headers.m_shardReceipts, joinReceipts(answer.m_receipts));
+        addReceipts(response.m_headers, headers.m_shardReceipts, answer.m_receipts);
         response.m_headers.emplace_back(headers.m_missingShards,
                                         std::to_string(answer.m_missingShards));
         response.m_body = answer.m_records;
--- a/libs/gatewaynode/src/decisionlog.cpp
+++ b/libs/gatewaynode/src/decisionlog.cpp
@@ -9,6 +9,9 @@
 constexpr int maximumLinesPerSecond = 200;
 constexpr std::uint64_t successSampleInterval = 64; //!< One of this many successes is logged.
 
+// Ids come from callers and may be as long as their headers.
+constexpr std::size_t maximumLoggedIdBytes = 128;
+
 void addName(boost::json::object &fields, std::string_view field, std::string_view name)
 {
     if (!name.empty()) {
@@ -50,7 +53,7 @@
         return;
     }
     boost::json::object fields;
-    fields["request"] = decision.m_requestId;
+    fields["request"] = std::string_view(decision.m_requestId).substr(0, maximumLoggedIdBytes);
     fields["reason"] = decision.m_reason;
     addName(fields, "route", decision.m_route);
     addName(fields, "service", decision.m_service);
--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -68,9 +68,13 @@
 
 private:
     void listPage(std::uint64_t generation, const std::string &after);
+    //! @brief Runs what a reply of the store leads to; after an exception all is listed again.
+    template <typename Step> void runGuarded(std::uint64_t generation, const Step &step);
+
     void handlePage(std::uint64_t generation, const std::string &after, const MetadataPage &page);
     void completeListing(std::uint64_t generation);
     void catchUp(std::uint64_t generation);
+    void handleCatchUp(std::uint64_t generation, const MetadataChanges &changes);
     void watch(std::uint64_t generation);
     void handleChanges(std::uint64_t generation, const MetadataChanges &changes);
     void scheduleRetry(std::uint64_t generation, bool relist);
--- a/libs/gatewaynode/src/gatewaynode.cpp
+++ b/libs/gatewaynode/src/gatewaynode.cpp
@@ -380,6 +380,13 @@
 
 void GatewayNode::Implementation::tick()
 {
+    // Armed first, so that an exception below does not end the ticks.
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
     const TimePoint now = bootTimeNow();
     checkForSuspension(now);
     m_engine.advance(now);
@@ -387,12 +394,6 @@
     updateEngine(now);
     m_decisionLog.reportDropped(now);
     m_log.flush();
-    m_tickTimer.expires_after(tickInterval);
-    m_tickTimer.async_wait([this](error_code error) {
-        if (!error) {
-            tick();
-        }
-    });
 }
 
 void GatewayNode::Implementation::checkForSuspension(TimePoint now)
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -125,6 +125,16 @@
     counter("arbutusgrade_connections_closed_unread_total",
             "Idle connections of callers closed with bytes that were not read",
             m_callerServer.statistics().m_closedWithUnreadBytes);
+    const HttpServerStatistics callers = m_callerServer.statistics();
+    counter("arbutusgrade_requests_rejected_total",
+            "Requests of callers that were malformed, too large or too slow to arrive",
+            callers.m_rejectedRequests);
+    constexpr std::string_view exceptions = "arbutusgrade_connection_exceptions_total";
+    constexpr std::string_view exceptionsHelp = "Connections ended by an exception, by peer";
+    addCounter(families, exceptions, exceptionsHelp,
+               static_cast<double>(callers.m_hop.m_exceptions), {{"peer", "caller"}});
+    addCounter(families, exceptions, exceptionsHelp, static_cast<double>(client.m_hop.m_exceptions),
+               {{"peer", "target"}});
     addCallerConnections(families, m_callerServer.connectionCounts());
     if (m_quotaService.isActive()) {
         addGauge(families, "arbutusgrade_quota_requests_waiting", "Requests that wait for a token",
--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -71,13 +71,27 @@
     m_timer.cancel();
 }
 
+template <typename Step> void PrefixWatcher::runGuarded(std::uint64_t generation, const Step &step)
+{
+    try {
+        step();
+    } catch (const std::exception &) {
+        // What was applied in part is read again; a watch that is not sent again would leave the
+        // node with what it knows now for good.
+        if (m_generation == generation) {
+            scheduleStrongListing(generation);
+        }
+    }
+}
+
 void PrefixWatcher::listPage(std::uint64_t generation, const std::string &after)
 {
     m_store.list(m_prefix, after, m_consistency,
                  [weak = weak_from_this(), generation, after](const MetadataPage &page) {
                      const std::shared_ptr<PrefixWatcher> self = weak.lock();
                      if (self && self->m_generation == generation) {
-                         self->handlePage(generation, after, page);
+                         self->runGuarded(generation,
+                                          [&] { self->handlePage(generation, after, page); });
                      }
                  });
 }
@@ -127,36 +141,43 @@
                       if (!self || self->m_generation != generation) {
                           return;
                       }
-                      if (changes.m_status == MetadataStatus::HistoryUnavailable) {
-                          self->restart(ReadConsistency::Strong);
-                          return;
-                      }
-                      if (changes.m_status == MetadataStatus::Unreadable) {
-                          self->scheduleStrongListing(generation);
-                          return;
-                      }
-                      if (changes.m_status != MetadataStatus::Ok) {
-                          self->m_items.clear();
-                          self->scheduleRetry(generation, true);
-                          return;
-                      }
-                      applyEvents(self->m_items, changes.m_events);
-                      self->m_revision = std::max(self->m_revision, changes.m_storeRevision);
-                      if (changes.m_events.size() >= backlogThreshold) {
-                          self->catchUp(generation);
-                          return;
-                      }
-                      self->completeListing(generation);
+                      self->runGuarded(generation,
+                                       [&] { self->handleCatchUp(generation, changes); });
                   });
 }
 
+void PrefixWatcher::handleCatchUp(std::uint64_t generation, const MetadataChanges &changes)
+{
+    if (changes.m_status == MetadataStatus::HistoryUnavailable) {
+        restart(ReadConsistency::Strong);
+        return;
+    }
+    if (changes.m_status == MetadataStatus::Unreadable) {
+        scheduleStrongListing(generation);
+        return;
+    }
+    if (changes.m_status != MetadataStatus::Ok) {
+        m_items.clear();
+        scheduleRetry(generation, true);
+        return;
+    }
+    applyEvents(m_items, changes.m_events);
+    m_revision = std::max(m_revision, changes.m_storeRevision);
+    if (changes.m_events.size() >= backlogThreshold) {
+        catchUp(generation);
+        return;
+    }
+    completeListing(generation);
+}
+
 void PrefixWatcher::watch(std::uint64_t generation)
 {
     m_store.watch(m_prefix, m_revision, m_options.m_watchTimeout,
                   [weak = weak_from_this(), generation](const MetadataChanges &changes) {
                       const std::shared_ptr<PrefixWatcher> self = weak.lock();
                       if (self && self->m_generation == generation) {
-                          self->handleChanges(generation, changes);
+                          self->runGuarded(generation,
+                                           [&] { self->handleChanges(generation, changes); });
                       }
                   });
 }
--- a/libs/peer/include/peer/peer.h
+++ b/libs/peer/include/peer/peer.h
@@ -27,6 +27,7 @@
     std::uint64_t m_sent = 0;
     std::uint64_t m_sentBytes = 0;
     std::uint64_t m_malformed = 0;
+    std::uint64_t m_exceptions = 0; //!< While a datagram was handled; receiving went on.
     //! Datagrams that could not be sent, and calls without a valid reply.
     std::uint64_t m_failures = 0;
 };
--- a/libs/peer/src/udp.cpp
+++ b/libs/peer/src/udp.cpp
@@ -56,8 +56,13 @@
         return;
     }
     const std::string_view datagram(m_receiveBuffer.data(), bytes);
-    if (!m_handler(m_senderEndpoint.address().to_string(), m_senderEndpoint.port(), datagram)) {
-        ++m_statistics.m_malformed;
+    // Receiving goes on, whatever one datagram holds.
+    try {
+        if (!m_handler(m_senderEndpoint.address().to_string(), m_senderEndpoint.port(), datagram)) {
+            ++m_statistics.m_malformed;
+        }
+    } catch (const std::exception &) {
+        ++m_statistics.m_exceptions;
     }
 }
 
--- a/libs/transport/include/transport/transport.h
+++ b/libs/transport/include/transport/transport.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,6 +31,13 @@
 //! @brief Time of the steady clock in the unit that the cores use.
 TimePoint steadyNow() noexcept;
 
+//! @brief Runs handlers until the context is stopped or has no work left.
+//!
+//! An exception that leaves a handler ends that handler only, so that no peer can end the process.
+//! @param report takes each such exception.
+void runContext(asio::io_context &context,
+                const std::function<void(const std::exception &)> &report);
+
 //! @brief Bytes and messages of one side of a hop, since start.
 struct HopStatistics
 {
@@ -37,6 +45,8 @@
     std::uint64_t m_bytesIn = 0;
     std::uint64_t m_bytesOut = 0;
     std::size_t m_bufferedBytes = 0; //!< Now, of replies that are not complete.
+    //! Exceptions while a message was read or handled. Each ended its own connection only.
+    std::uint64_t m_exceptions = 0;
 };
 
 //! @brief Keeps bytes that a peer has sent counted in the budget of their client; held by whoever
@@ -85,7 +95,7 @@
 
 struct HttpServerOptions
 {
-    std::uint32_t m_headerLimitBytes = 16 * 1024;
+    std::uint32_t m_headerLimitBytes = 16 * 1024; //!< With the request line; as much for trailers.
     std::uint32_t m_bodyLimitBytes = 1024 * 1024;
     //! For the framing of a request and for the requests that a caller sends ahead.
     std::uint32_t m_framingLimitBytes = 64 * 1024;
@@ -243,6 +253,7 @@
     void connect(const PendingPointer &pending);
     void exchange(const PendingPointer &pending);
     void finish(const PendingPointer &pending, const ReplyContent *reply);
+    void handOver(const PendingPointer &pending, const ReplyContent *reply);
     void armTimer();
     void expire();
 
--- a/libs/transport/src/clientconnection.cpp
+++ b/libs/transport/src/clientconnection.cpp
@@ -2,6 +2,8 @@
 
 #include "details/socketoptions.h"
 
+#include <utility>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -34,6 +36,30 @@
 {
 }
 
+template <typename Step> void ClientConnection::runGuarded(const Step &step)
+{
+    try {
+        step();
+    } catch (const std::exception &) {
+        ++m_hop.m_exceptions;
+        endFailedExchange();
+    }
+}
+
+void ClientConnection::endFailedExchange()
+{
+    const ExchangeHandler handler = std::exchange(m_handler, nullptr);
+    close();
+    if (!handler) {
+        return;
+    }
+    try {
+        handler(ExchangeEnd::Malformed, m_content);
+    } catch (const std::exception &) {
+        ++m_hop.m_exceptions;
+    }
+}
+
 void ClientConnection::connect(const Tcp::endpoint &endpoint, ConnectHandler handler)
 {
     m_socket.async_connect(
@@ -48,12 +74,12 @@
             }
             if (error) {
                 self->close();
-                handler(false);
+                self->runGuarded([&handler] { handler(false); });
                 return;
             }
             self->m_reusable = true;
             self->readMore();
-            handler(true);
+            self->runGuarded([&handler] { handler(true); });
         });
 }
 
@@ -137,7 +163,7 @@
     m_socket.async_read_some(m_buffer.prepare(readSizeBytes),
                              [self = shared_from_this()](error_code error, std::size_t bytes) {
                                  if (!self->m_closed) {
-                                     self->handleRead(error, bytes);
+                                     self->runGuarded([&] { self->handleRead(error, bytes); });
                                  }
                              });
 }
@@ -176,8 +202,9 @@
     m_reservation = std::make_shared<ReplyReservation>(
         m_budget, [weak = weak_from_this(), exchange = m_exchangeNumber] {
             if (const std::shared_ptr<ClientConnection> self = weak.lock()) {
-                asio::post(self->m_socket.get_executor(),
-                           [self, exchange] { self->giveUpReply(exchange); });
+                asio::post(self->m_socket.get_executor(), [self, exchange] {
+                    self->runGuarded([&] { self->giveUpReply(exchange); });
+                });
             }
         });
     m_reservation->add(m_replyBytes);
@@ -299,7 +326,7 @@
 void ClientConnection::reportNotSent(ExchangeHandler handler)
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this(), handler = std::move(handler)] {
-        handler(ExchangeEnd::NotSent, self->m_content);
+        self->runGuarded([&] { handler(ExchangeEnd::NotSent, self->m_content); });
     });
 }
 
--- a/libs/transport/src/details/clientconnection.h
+++ b/libs/transport/src/details/clientconnection.h
@@ -74,6 +74,12 @@
     void close();
 
 private:
+    //! @brief Runs a completed operation; an exception in it ends this connection only.
+    template <typename Step> void runGuarded(const Step &step);
+
+    //! @brief Ends the connection after an exception; an exchange in flight ends as malformed.
+    void endFailedExchange();
+
     void writeRest(std::string rest);
     void readMore();
     void handleRead(boost::system::error_code error, std::size_t bytes);
--- a/libs/transport/src/details/replyparser.h
+++ b/libs/transport/src/details/replyparser.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "details/fieldline.h"
 #include "transport/transport.h"
 
 namespace arbutusgrade {
@@ -32,8 +33,7 @@
 private:
     static constexpr std::uint32_t headerLimitBytes = 16 * 1024;
 
-    // With those of trailers, which the limit above does not cover. A field takes more memory than
-    // its text.
+    // With those of trailers. A field takes more memory than its text.
     static constexpr std::size_t fieldLimit = 512;
 
     // Range of valid status codes; RFC 9110, section 15. The parser takes any three digits.
@@ -82,7 +82,9 @@
             error = boost::beast::http::error::bad_value;
             return;
         }
-        if (m_content.m_headers.size() >= fieldLimit) {
+        // The parser's own limit covers neither trailers nor fields that arrive one by one.
+        m_fieldBytes += fieldLineBytes(name, value);
+        if (++m_fields > fieldLimit || m_fieldBytes > headerLimitBytes) {
             error = boost::beast::http::error::header_limit;
             return;
         }
@@ -91,7 +93,11 @@
                                              std::string_view(value.data(), value.size()));
         }
     }
-    void on_header_impl(Error & /*error*/) override { }
+    void on_header_impl(Error & /*error*/) override
+    {
+        // Trailers get a limit of the same size.
+        m_fieldBytes = 0;
+    }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                            Error & /*error*/) override
     {
@@ -114,6 +120,8 @@
 
     ReplyContent &m_content;
     bool m_keepHeaders;
+    std::size_t m_fields = 0;
+    std::size_t m_fieldBytes = 0; //!< Of the header, then of the trailers.
 };
 
 } // namespace arbutusgrade
--- a/libs/transport/src/httpclient.cpp
+++ b/libs/transport/src/httpclient.cpp
@@ -160,10 +160,20 @@
     }
     // The handler may start another exchange on this connection, which reuses the reply's buffer.
     const ReplyContent content = reply != nullptr ? *reply : ReplyContent{};
-    pending->m_handler(reply != nullptr ? &content : nullptr);
+    handOver(pending, reply != nullptr ? &content : nullptr);
     pump();
 }
 
+void HttpClient::handOver(const PendingPointer &pending, const ReplyContent *reply)
+{
+    // The calls that wait must go on, whatever one handler does.
+    try {
+        pending->m_handler(reply);
+    } catch (const std::exception &) {
+        ++m_hop.m_exceptions;
+    }
+}
+
 void HttpClient::armTimer()
 {
     TimePoint next = farFuture;
@@ -206,7 +216,7 @@
         return due;
     });
     for (const PendingPointer &pending : expired) {
-        pending->m_handler(nullptr);
+        handOver(pending, nullptr);
     }
     armTimer();
 }
--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -18,6 +19,7 @@
 #include "gatewaynode/gatewaynode.h"
 #include "platform/platform.h"
 #include "textfile/textfile.h"
+#include "transport/transport.h"
 
 ABSL_FLAG(std::string, settings, "",
           "settings file (YAML); by default the one that the environment names");
@@ -140,7 +142,11 @@
         std::cerr << problem << '\n';
         return exitFailure;
     }
-    context.run();
+    arbutusgrade::runContext(context, [&log](const std::exception &error) {
+        log.write(arbutusgrade::LogLevel::Error, "handler-exception",
+                  "a handler ended with an exception; the others go on. Report this line",
+                  {{"exception", error.what()}});
+    });
     log.write(arbutusgrade::LogLevel::Info, "stopped", "");
     log.flush();
     // The log library joins its worker thread when static objects are destroyed; on the users' VMs
--- a/tools/arbutusgraded/main.cpp
+++ b/tools/arbutusgraded/main.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -19,6 +20,7 @@
 #include "cluster/cluster.h"
 #include "node/node.h"
 #include "textfile/textfile.h"
+#include "transport/transport.h"
 
 ABSL_FLAG(std::string, base, "", "settings file that the whole firm shares (YAML)");
 ABSL_FLAG(std::string, overlay, "", "settings file of this site; optional");
@@ -121,7 +123,11 @@
         std::cerr << problem << '\n';
         return exitFailure;
     }
-    context.run();
+    arbutusgrade::runContext(context, [&log](const std::exception &error) {
+        log.write(arbutusgrade::LogLevel::Error, "handler-exception",
+                  "a handler ended with an exception; the others go on. Report this line",
+                  {{"exception", error.what()}});
+    });
     return 0;
 }
 
