Read requests with a parser whose fields are bounded by the limits in force alone

The message type of Boost.Beast holds no field above 65,533 bytes and throws inside of the read. Found beside it: the header limit of the parser starts anew with each field that arrives by itself, so the whole header was not bounded; trailers of callers were neither bounded nor kept apart from the header.

Change: a parser that writes into the request, with one limit for the request line and the header together and one of the same size for trailers, which are dropped. A header beyond the limit gets 431, which callers do not repeat, as they do not repeat 413. A step of a session that ends with an exception ends that connection.

--- a/libs/transport/src/details/httpsession.h
+++ b/libs/transport/src/details/httpsession.h
@@ -13,9 +13,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "details/requestparser.h"
 #include "transport/transport.h"
 
 namespace arbutusgrade {
@@ -74,9 +74,11 @@
 private:
     enum class Phase { Idle, Reading, Handling, Writing, Draining, Closed };
 
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
+    //! @brief Runs a completed operation; an exception in it ends this connection only.
+    template <typename Step> void runGuarded(const Step &step);
+
     bool hasUnreadRequest();
     void checkIdleTime(TimePoint now);
     void applySizeLimits(const HttpServerOptions &options);
@@ -99,10 +101,10 @@
     Tcp::socket m_socket;
     std::weak_ptr<HttpServerState> m_state;
     boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    HttpRequest m_request;
+    std::optional<RequestParser> m_parser; //!< Writes into the request.
     std::optional<Response> m_response;
     ReplyMemory m_responseMemory; //!< Until the response has been written.
-    HttpRequest m_request;
     Phase m_phase = Phase::Idle;
     TimePoint m_deadline = farFuture; //!< Of all phases but the idle one.
     TimePoint m_idleSince;            //!< In the idle phase.
--- a/libs/transport/src/httpsession.cpp
+++ b/libs/transport/src/httpsession.cpp
@@ -47,25 +47,6 @@
     return nullptr;
 }
 
-using Message = http::request<http::string_body>;
-
-//! @brief Returns the contents of a message, without what is known of its connection.
-HttpRequest makeRequest(Message message)
-{
-    HttpRequest request;
-    request.m_method = message.method_string();
-    const std::string_view target(message.target().data(), message.target().size());
-    request.m_target = target;
-    const std::size_t queryStart = std::min(target.find('?'), target.size());
-    request.m_path = target.substr(0, queryStart);
-    request.m_query = target.substr(std::min(queryStart + 1, target.size()));
-    for (const Message::header_type::fields_type::value_type &field : message) {
-        request.m_headers.emplace_back(field.name_string(), field.value());
-    }
-    request.m_body = std::move(message.body());
-    return request;
-}
-
 //! @brief IP address of the peer; one that is mapped into IPv6 is returned as IPv4.
 std::string peerAddress(const Tcp::socket &socket)
 {
@@ -87,6 +68,18 @@
 {
 }
 
+template <typename Step> void HttpSession::runGuarded(const Step &step)
+{
+    try {
+        step();
+    } catch (const std::exception &) {
+        if (const std::shared_ptr<HttpServerState> state = m_state.lock()) {
+            ++state->m_statistics.m_hop.m_exceptions;
+        }
+        close();
+    }
+}
+
 void HttpSession::start()
 {
     error_code ignored;
@@ -183,7 +176,6 @@
     }
     m_phase = Phase::Idle;
     m_idleSince = steadyNow();
-    m_parser.emplace();
     if (m_buffer.size() > 0) {
         startReading();
         return;
@@ -196,14 +188,13 @@
             self->close();
             return;
         }
-        self->startReading();
+        self->runGuarded([&self] { self->startReading(); });
     });
 }
 
 void HttpSession::applySizeLimits(const HttpServerOptions &options)
 {
-    m_parser->header_limit(options.m_headerLimitBytes);
-    m_parser->body_limit(options.m_bodyLimitBytes);
+    m_parser->setLimits(options.m_headerLimitBytes, options.m_bodyLimitBytes);
     // The parser has no limit of its own for the framing of chunks and for trailers.
     m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), options.m_framingLimitBytes)
                       + options.m_headerLimitBytes + options.m_bodyLimitBytes);
@@ -218,6 +209,7 @@
     }
     m_phase = Phase::Reading;
     m_request = HttpRequest{};
+    m_parser.emplace(m_request);
     m_timedOut = false;
     // Limits are those in force when a request begins, however long its connection has waited.
     applySizeLimits(state->m_options);
@@ -228,7 +220,7 @@
                                         self->m_state.lock()) {
                                     server->m_statistics.m_hop.m_bytesIn += bytes;
                                 }
-                                self->handleHeader(error);
+                                self->runGuarded([&] { self->handleHeader(error); });
                             });
 }
 
@@ -238,7 +230,7 @@
         rejectRead(error);
         return;
     }
-    if (m_parser->get()[http::field::expect] == "100-continue") {
+    if (m_request.header("expect") == "100-continue") {
         // The socket buffer of a connection without pending output takes these few bytes at once.
         static constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
         error_code ignored;
@@ -257,7 +249,7 @@
                          if (const std::shared_ptr<HttpServerState> server = self->m_state.lock()) {
                              server->m_statistics.m_hop.m_bytesIn += bytes;
                          }
-                         self->handleBody(error);
+                         self->runGuarded([&] { self->handleBody(error); });
                      });
 }
 
@@ -280,9 +272,7 @@
     m_phase = Phase::Handling;
     m_deadline = farFuture;
     ++state->m_statistics.m_hop.m_messages;
-    Parser::value_type message = m_parser->release();
-    m_keepAlive = message.keep_alive();
-    m_request = makeRequest(std::move(message));
+    m_keepAlive = m_parser->keep_alive();
     const std::uint64_t exchange = ++state->m_lastExchange;
     m_request.m_exchange = exchange;
     m_request.m_roundTrip = m_roundTrip;
@@ -291,7 +281,7 @@
     const std::uint64_t number = ++m_requestNumber;
     const HttpResponder responder = [weak = weak_from_this(), number](HttpResponse response) {
         if (const std::shared_ptr<HttpSession> self = weak.lock()) {
-            self->respond(number, std::move(response));
+            self->runGuarded([&] { self->respond(number, std::move(response)); });
         }
     };
     bool pathKnown = false;
@@ -319,7 +309,7 @@
     m_socket.async_wait(Tcp::socket::wait_read,
                         [self = shared_from_this(), exchange](error_code error) {
                             if (!error) {
-                                self->handleEarlyRead(exchange);
+                                self->runGuarded([&] { self->handleEarlyRead(exchange); });
                             }
                         });
 }
@@ -354,7 +344,7 @@
     } else if (error == http::error::body_limit) {
         reject(413, "the body is larger than allowed");
     } else if (error == http::error::header_limit) {
-        reject(413, "the headers are larger than allowed");
+        reject(431, "the header is larger than allowed");
     } else if (protocolError) {
         reject(400, "the request is truncated or malformed: " + error.message());
     } else {
@@ -405,7 +395,7 @@
     }
     http::async_write(m_socket, *m_response,
                       [self = shared_from_this()](error_code error, std::size_t bytes) {
-                          self->handleWritten(error, bytes);
+                          self->runGuarded([&] { self->handleWritten(error, bytes); });
                       });
 }
 
--- a/libs/transport/tests/oversizedfieldtest.cpp
+++ b/libs/transport/tests/oversizedfieldtest.cpp
@@ -85,6 +85,16 @@
 
 const std::string ok = "HTTP/1.1 200 OK\r\n";
 const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+const std::string chunkedRequest =
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+
+//! @brief A request whose first line and header have this many bytes together.
+std::string requestWithHeaderOf(std::size_t bytes)
+{
+    const std::string start = "GET / HTTP/1.1\r\nHost: x\r\nX-Long: ";
+    const std::string end = "\r\n\r\n";
+    return start + std::string(bytes - start.size() - end.size(), 'h') + end;
+}
 
 } // namespace
 
@@ -117,6 +127,89 @@
     EXPECT_EQ(exchange(chunked + trailers.substr(0, 3 * 1015) + "\r\n"), ForwardEnd::Reply);
 }
 
+// Guards against a header within the limits in force that ends the process or is refused as a
+// library cannot hold one of its fields.
+TEST_F(OversizedFieldTest, HeaderWithinTheLimitIsServed)
+{
+    constexpr std::uint32_t limit = 128 * 1024;
+    setHeaderLimit(limit);
+    EXPECT_EQ(answerTo(requestWithHeaderOf(hugeFieldBytes)), "HTTP/1.1 200 OK");
+    EXPECT_EQ(answerTo(requestWithHeaderOf(limit)), "HTTP/1.1 200 OK");
+    const std::string huge(hugeFieldBytes, 'h');
+    EXPECT_EQ(answerTo("GET / HTTP/1.1\r\nHost: x\r\n" + huge + ": 1\r\n\r\n"), "HTTP/1.1 200 OK");
+    EXPECT_EQ(answerTo("GET /" + huge + " HTTP/1.1\r\nHost: x\r\n\r\n"), "HTTP/1.1 200 OK");
+    ASSERT_EQ(m_requests.size(), 4U);
+    EXPECT_EQ(m_requests[0].header("X-Long").size() + 37U, hugeFieldBytes);
+    EXPECT_EQ(m_requests[2].header(huge), "1");
+    EXPECT_EQ(m_requests[3].m_path, "/" + huge);
+}
+
+// Guards against a first line and fields that are each within the limit and above it together, and
+// against a header beyond the limit that is answered as if its body were too large.
+TEST_F(OversizedFieldTest, HeaderBeyondTheLimitGets431)
+{
+    constexpr std::uint32_t limit = 128 * 1024;
+    setHeaderLimit(limit);
+    const std::string refused = "HTTP/1.1 431 Request Header Fields Too Large";
+    // The spaces behind the two colons are not counted.
+    EXPECT_EQ(answerTo(requestWithHeaderOf(limit + 3)), refused);
+    const std::string huge(hugeFieldBytes, 'h');
+    EXPECT_EQ(answerTo("GET /" + huge + " HTTP/1.1\r\nHost: x\r\nX-Long: " + huge + "\r\n\r\n"),
+              refused);
+    EXPECT_EQ(answerTo("GET /" + huge + huge + " HTTP/1.1\r\nHost: x\r\n\r\n"), refused);
+    EXPECT_TRUE(m_requests.empty());
+}
+
+// Guards against a header whose fields arrive one by one and are only bounded each.
+TEST_F(OversizedFieldTest, FieldsThatArriveOneByOneAreBoundedTogether)
+{
+    RawClient client(m_context, m_server.port());
+    client.send("GET / HTTP/1.1\r\nHost: x\r\n");
+    const std::string field = "X-Part: " + std::string(1000, 'p') + "\r\n";
+    std::size_t sent = 0;
+    while (client.text().empty() && sent < 64 * field.size()) {
+        client.send(field);
+        sent += field.size();
+        runFor(m_context, std::chrono::milliseconds(1));
+    }
+    EXPECT_TRUE(client.received("HTTP/1.1 431")) << client.text();
+    EXPECT_LT(sent, 20U * 1024);
+}
+
+// Guards against trailers of a caller that end the process, that are read without a limit, or that
+// stand for fields of the header.
+TEST_F(OversizedFieldTest, TrailersOfARequestAreBoundedAndDropped)
+{
+    const std::string huge(hugeFieldBytes, 't');
+    EXPECT_EQ(answerTo(chunkedRequest + "X-Trailer: " + huge + "\r\n\r\n"),
+              "HTTP/1.1 431 Request Header Fields Too Large");
+    EXPECT_EQ(answerTo(chunkedRequest + huge + ": 1\r\n\r\n"),
+              "HTTP/1.1 431 Request Header Fields Too Large");
+    EXPECT_TRUE(m_requests.empty());
+    EXPECT_EQ(answerTo(chunkedRequest + "Host: other\r\nX-Trailer: 1\r\n\r\n"), "HTTP/1.1 200 OK");
+    ASSERT_EQ(m_requests.size(), 1U);
+    EXPECT_EQ(m_requests[0].m_headers.size(), 2U);
+    EXPECT_EQ(m_requests[0].header("Host"), "x");
+    setHeaderLimit(128 * 1024);
+    EXPECT_EQ(answerTo(chunkedRequest + "X-Trailer: " + huge + "\r\n\r\n"), "HTTP/1.1 200 OK");
+}
+
+// Guards against an exception while a request is handled or answered that ends more than the
+// connection on which the request came.
+TEST_F(OversizedFieldTest, ExceptionEndsOneConnectionOnly)
+{
+    RawClient kept(m_context, m_server.port());
+    kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_context, [&kept] { return kept.received("served"); }));
+    EXPECT_EQ(answerTo("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n"), "");
+    EXPECT_EQ(answerTo("GET /long-response HTTP/1.1\r\nHost: x\r\n\r\n"), "");
+    EXPECT_EQ(m_server.statistics().m_hop.m_exceptions, 2U);
+    EXPECT_EQ(m_server.statistics().m_connections, 1U);
+    const std::size_t before = kept.text().size();
+    kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(runUntil(m_context, [&] { return kept.text().size() > before; }));
+}
+
 // Guards against an exception while a reply is handled that leaves its caller without an end or
 // ends the process.
 TEST_F(OversizedFieldTest, ExceptionInAReplyHandlerEndsItsConnection)
