Use no report of a target that is older than what is known of it

The store did a report of the target late, behind later ones and the removal of its entry. The number and the start time in a report tell that it is older, but were compared only after a restore of the store. In the same way, an older report ended a drain. A process that started again under its id with its clock set back was taken for an earlier one and got no requests at all.

Change: RestoreGuard becomes EntryHistory, which compares each entry: a lower number of the process in use, and any report of a process that was replaced, are outdated; a process that was never seen under the id is new whatever start it states. What is remembered is bounded by number and time, and a listing forgets outdated entries that it does not have. The test TakesEachEntryOfAStoreThatWasNotRestored expected that a removed target comes back by an older report, which is this fault; three tests that take later reports and other processes, and no older ones, stand in its place.

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -256,6 +256,10 @@
 //! @brief Adds or updates a target. Ignores a stale entry, that is, one of an earlier process.
 EntryChange applyEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry);
 
+//! @brief Replaces a target by another process with the same id, also by one that states an earlier
+//! start: the clock of its VM may have been set back.
+EntryChange replaceEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry);
+
 //! @brief Marks a target as removed. Also used for entries that can no longer be decoded.
 //!
 //! The later this node learns of a removal, the sooner it takes effect, so that both delays
--- a/libs/forwarding/src/registry.cpp
+++ b/libs/forwarding/src/registry.cpp
@@ -90,12 +90,7 @@
         return EntryChange::Stale;
     }
     if (!isSameProcess(entry, target->m_entry)) {
-        // Statistics of the earlier process do not apply to the new one.
-        target->m_removed = true;
-        target->m_removalEffectiveAt = now;
-        removeFromService(registry, target);
-        addTarget(registry, now, entry);
-        return EntryChange::Restarted;
+        return replaceEntry(registry, now, entry);
     }
     const bool startsDraining = entry.m_draining && !target->m_entry.m_draining;
     if (isRewritten(entry, target->m_entry)) {
@@ -108,6 +103,21 @@
     return startsDraining ? EntryChange::Draining : EntryChange::Changed;
 }
 
+EntryChange replaceEntry(TargetRegistry &registry, TimePoint now, const TargetEntry &entry)
+{
+    const std::unordered_map<std::string, TargetPointer>::iterator found =
+        registry.m_targets.find(entry.m_id);
+    if (found != registry.m_targets.end()) {
+        // Statistics of the earlier process do not apply to the new one.
+        const TargetPointer earlier = found->second;
+        earlier->m_removed = true;
+        earlier->m_removalEffectiveAt = now;
+        removeFromService(registry, earlier);
+    }
+    addTarget(registry, now, entry);
+    return EntryChange::Restarted;
+}
+
 bool removeEntry(TargetRegistry &registry, TimePoint now, std::string_view id,
                  std::optional<TimePoint> removedAfter)
 {
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
+#include "details/entryhistory.h"
 #include "details/membership.h"
 #include "details/prefixwatcher.h"
-#include "details/restoreguard.h"
 #include "telemetry/telemetry.h"
 
 namespace arbutusgrade {
@@ -58,7 +58,8 @@
     void applyTarget(const MetadataItem &item);
     void removeTarget(std::string_view key, std::string_view reason);
     TargetPointer findTarget(std::string_view id) const;
-    void recordRemoval(std::string_view id);
+    //! @param isCertain false if the target may be alive without an entry.
+    void recordRemoval(std::string_view id, bool isCertain);
     void handleAvailability(bool available);
     void logFindings(std::string_view event, std::string_view key,
                      const std::vector<Finding> &findings);
@@ -72,7 +73,7 @@
     std::function<void()> m_changeHandler;
     std::unordered_map<std::string, std::uint64_t>
         m_loggedUnreadable; //!< Hash of the logged value, by key.
-    RestoreGuard m_guard;
+    EntryHistory m_entryHistory;
     bool m_isRestored = false; //!< The next listing is the first one after a restore.
     bool m_stopped = false;
     bool m_configurationRead = false;
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -14,6 +14,9 @@
 // are recorded, unreadable entries are no longer logged.
 constexpr std::size_t maximumUnreadableEntries = 1000;
 
+// Reason for a removal by whoever wrote the entry.
+constexpr std::string_view removedReason = "removed";
+
 //! @brief Returns the number that the whole text stands for, or nothing.
 template <typename Number> std::optional<Number> parseWhole(std::string_view text)
 {
@@ -73,7 +76,7 @@
 {
     const bool isRestored = std::exchange(m_isRestored, false);
     if (isRestored) {
-        m_guard.beginRestored(m_watcher->revision());
+        m_entryHistory.beginRestored(m_watcher->revision());
         // Targets that the copy lacks stay in use as they do after an outage.
         markStoreUnavailable(m_engine.registry());
         markStoreAvailable(m_engine.registry(), bootTimeNow());
@@ -90,13 +93,11 @@
     }
     for (const std::string &id : removeMissingEntries(m_engine.registry(), bootTimeNow(),
                                                       presentIds, m_watcher->changedAfter())) {
-        // Missing from a copy does not mean that a target is gone, unless it was about to leave.
-        const TargetPointer target = findTarget(id);
-        if (!isRestored || (target && target->m_entry.m_draining)) {
-            recordRemoval(id);
-        }
+        // Missing from a copy does not mean that a target is gone.
+        recordRemoval(id, !isRestored);
         m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", "missing"}});
     }
+    m_entryHistory.forgetMissingEntries(bootTimeNow(), presentIds);
     m_membership.applySnapshot(items);
     m_changeHandler();
 }
@@ -114,7 +115,7 @@
             applyCrashCount(event.m_item);
         }
         if (isTarget && event.m_removed) {
-            removeTarget(key, "removed");
+            removeTarget(key, removedReason);
         } else if (isTarget) {
             applyTarget(event.m_item);
         }
@@ -220,14 +221,20 @@
     }
     entry.value().m_revision = item.m_revision;
     const TargetPointer known = findTarget(id);
-    if (m_guard.isOutdated(bootTimeNow(), entry.value(), item.m_revision,
-                           known ? &known->m_entry : nullptr)) {
+    if (m_entryHistory.isOutdated(bootTimeNow(), entry.value())) {
         m_log.write(LogLevel::Info, "target-entry-outdated",
-                    "the restored store has an earlier entry of the target, which is not used",
-                    {{"target", id}, {"revision", item.m_revision}});
+                    "the entry is older than what is known of the target, and is not used",
+                    {{"target", id},
+                     {"revision", item.m_revision},
+                     {"started", entry.value().m_started},
+                     {"sequence", entry.value().m_sequence}});
         return;
     }
-    const EntryChange change = applyEntry(m_engine.registry(), bootTimeNow(), entry.value());
+    // The history has told that it is the later process, whatever start time it states.
+    const bool isOrderedByStart = !known || entry.value().m_started >= known->m_entry.m_started;
+    const EntryChange change =
+        isOrderedByStart ? applyEntry(m_engine.registry(), bootTimeNow(), entry.value())
+                         : replaceEntry(m_engine.registry(), bootTimeNow(), entry.value());
     if (change == EntryChange::Changed) {
         return;
     }
@@ -249,9 +256,9 @@
 void StoreSync::removeTarget(std::string_view key, std::string_view reason)
 {
     const std::string_view id = key.substr(std::min(key.size(), m_format.m_targetPrefix.size()));
-    m_guard.forgetEntry(bootTimeNow(), id);
+    m_entryHistory.forgetEntry(bootTimeNow(), id);
     if (removeEntry(m_engine.registry(), bootTimeNow(), id, m_watcher->changedAfter())) {
-        recordRemoval(id);
+        recordRemoval(id, reason == removedReason);
         m_log.write(LogLevel::Info, "target-removed", "", {{"target", id}, {"reason", reason}});
     }
 }
@@ -264,11 +271,16 @@
     return found != targets.end() ? found->second : nullptr;
 }
 
-void StoreSync::recordRemoval(std::string_view id)
+void StoreSync::recordRemoval(std::string_view id, bool isCertain)
 {
-    if (const TargetPointer target = findTarget(id)) {
-        m_guard.recordRemoval(bootTimeNow(), target->m_entry);
-    }
+    const TimePoint now = bootTimeNow();
+    const TargetRegistry &registry = m_engine.registry();
+    const TargetPointer target = findTarget(id);
+    const bool wasDraining = target && target->m_entry.m_draining;
+    // Entries may expire while the store is away; they return soon afterwards.
+    const bool mayHaveExpired =
+        registry.m_storeUnavailable || now < registry.m_storeRecoveryGraceEnd;
+    m_entryHistory.recordRemoval(now, id, wasDraining || (isCertain && !mayHaveExpired));
 }
 
 void StoreSync::handleAvailability(bool available)
--- a/libs/gatewaynode/tests/storerestoretest.cpp
+++ b/libs/gatewaynode/tests/storerestoretest.cpp
@@ -164,13 +164,59 @@
     EXPECT_TRUE(isUsed("a", 1min));
 }
 
-// Guards against targets that go back in a store that was never restored, as a rule for copies is
-// applied there.
-TEST_F(StoreRestoreTest, TakesEachEntryOfAStoreThatWasNotRestored)
+// Guards against an older report that the store does late, which brings back a target that left; a
+// later report of the target and one of another process are used.
+TEST_F(StoreRestoreTest, OlderReportDoesNotBringBackARemovedTarget)
 {
-    start({{"t/a", "12r"}});
+    start({{"t/a", "24r"}, {"t/b", "24r"}, {"t/c", "24r"}});
+    for (const std::string id : {"a", "b", "c"}) {
+        remove("t/" + id, 11);
+        change("t/" + id, "23r", 12);
+        EXPECT_FALSE(isUsed(id, 1min)) << id;
+    }
+    change("t/a", "25r", 13);
+    EXPECT_TRUE(isUsed("a", 1min));
+    change("t/b", "31r", 13);
+    EXPECT_TRUE(isUsed("b", 1min));
+    change("t/c", "11r", 13); // Its clock was set back.
+    EXPECT_TRUE(isUsed("c", 1min));
+}
+
+// Guards against an older report that the store does late, which ends a drain.
+TEST_F(StoreRestoreTest, OlderReportDoesNotEndADrain)
+{
+    start({{"t/a", "24r"}});
+    change("t/a", "26d", 11);
+    change("t/a", "25r", 12);
+    EXPECT_FALSE(isUsed("a"));
+    change("t/a", "27r", 13);
+    EXPECT_TRUE(isUsed("a"));
+}
+
+// Guards against a process that started again under its id, with its clock set back, and gets no
+// requests; and against late reports of the earlier process that end the use of the new one.
+TEST_F(StoreRestoreTest, RestartedProcessIsUsedAtOnce)
+{
+    start({{"t/a", "54d"}});
+    change("t/a", "31r", 11);
+    EXPECT_TRUE(isUsed("a"));
+    for (const std::string_view late : {"53r", "54d"}) {
+        change("t/a", late, 12);
+        EXPECT_TRUE(isUsed("a")) << late;
+        EXPECT_EQ(m_engine.registry().m_targets.at("a")->m_entry.m_started, 3) << late;
+    }
+    change("t/a", "32d", 13);
+    EXPECT_FALSE(isUsed("a"));
+}
+
+// Guards against live targets that stay unused because the store lost their entries for a moment.
+TEST_F(StoreRestoreTest, EntriesExpiredWhileTheStoreWasAwayMayReturnUnchanged)
+{
+    start({{"t/a", "24r"}});
+    markStoreUnavailable(m_engine.registry());
+    markStoreAvailable(m_engine.registry(), bootTimeNow());
     remove("t/a", 11);
-    change("t/a", "11r", 12);
+    change("t/a", "24r", 12);
     EXPECT_TRUE(isUsed("a", 1min));
 }
 
