Write keys of nodes under a condition, so that a late write undoes no later one

Nodes wrote their registrations and the reports of crashes without a condition. The store may perform a write that had no response seconds later: a report of a crash behind the one that cleared it, so that all nodes refuse the request again for five minutes; a registration of an earlier process behind that of the present one, so that other nodes use a link that is gone.

Change: KeyWriter expects the revision that it knows of the key and writes again after a conflict, at most four times at once.

Result: CrashPublisherTest.LateWriteUndoesNoLaterOne and Membership.LateRegistrationOfAnEarlierProcessIsNotWritten pass; they need the new fake of the store, so they were not run on the code before.

--- a/libs/gatewaynode/include/gatewaynode/gatewaynode.h
+++ b/libs/gatewaynode/include/gatewaynode/gatewaynode.h
@@ -87,6 +87,8 @@
 {
     MetadataStatus m_status = MetadataStatus::NoResponse;
     StoreEra m_era;
+    //! Of a write: the revision of the key, also after a conflict; 0 if the key does not exist.
+    std::uint64_t m_revision = 0;
 };
 
 //! @brief Timeouts and connection limits for calls of the store.
@@ -124,8 +126,13 @@
                        std::chrono::milliseconds wait,
                        std::function<void(const MetadataChanges &)> handler) = 0;
 
-    //! @brief Writes a key unconditionally and attaches it to the lease.
+    //! @brief Writes a key if it has the expected revision, and attaches it to the lease.
+    //!
+    //! A write without a response may be performed seconds later, if the key still has the expected
+    //! revision then.
+    //! @param expectedRevision 0: the key does not exist.
     virtual void write(std::string_view key, std::string_view value, std::string_view lease,
+                       std::uint64_t expectedRevision,
                        std::function<void(const MetadataResult &)> handler) = 0;
 
     virtual void createLease(std::chrono::milliseconds timeToLive,
--- a/libs/gatewaynode/src/crashpublisher.cpp
+++ b/libs/gatewaynode/src/crashpublisher.cpp
@@ -25,7 +25,7 @@
 
 CrashPublisher::CrashPublisher(boost::asio::io_context &context, MetadataStore &store,
                                std::string prefix, std::chrono::milliseconds minimumLease, Log &log)
-    : m_store(store), m_prefix(std::move(prefix)),
+    : m_store(store), m_writer(std::make_shared<KeyWriter>(store)), m_prefix(std::move(prefix)),
       m_timeToLive(std::max(reportLifetime() + leaseShareTime, minimumLease)), m_log(log),
       m_retryTimer(context)
 {
@@ -88,7 +88,7 @@
 
 void CrashPublisher::write(const std::string &key, const std::string &text)
 {
-    m_store.write(
+    m_writer->write(
         key, text, m_leaseId,
         [weak = weak_from_this(), era = m_eraNumber, key, text](const MetadataResult &result) {
             const std::shared_ptr<CrashPublisher> self = weak.lock();
@@ -124,6 +124,7 @@
 {
     ++m_eraNumber;
     m_leaseId.clear();
+    m_writer->storeEraChanged();
     m_retryTimer.cancel();
     // A report that still waits is newer than the written one of the same key, which is kept out.
     m_unwritten.merge(m_written);
--- a/libs/gatewaynode/src/details/crashpublisher.h
+++ b/libs/gatewaynode/src/details/crashpublisher.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/base.h"
+#include "details/keywriter.h"
 #include "gatewaynode/gatewaynode.h"
 #include "telemetry/telemetry.h"
 
@@ -42,6 +43,7 @@
     void retryLater(std::string_view reason);
 
     MetadataStore &m_store;
+    std::shared_ptr<KeyWriter> m_writer;
     std::string m_prefix;
     std::chrono::milliseconds m_timeToLive;
     Log &m_log;
--- a/libs/gatewaynode/src/details/membership.h
+++ b/libs/gatewaynode/src/details/membership.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/base.h"
+#include "details/keywriter.h"
 #include "gatewaynode/gatewaynode.h"
 
 namespace arbutusgrade {
@@ -92,6 +93,7 @@
     };
 
     MetadataStore &m_store;
+    std::shared_ptr<KeyWriter> m_writer;
     std::string m_prefix;
     std::string m_ownKey;
     std::string m_registration; //!< Value of this node's key.
--- a/libs/gatewaynode/src/details/relayedstore.h
+++ b/libs/gatewaynode/src/details/relayedstore.h
@@ -68,6 +68,7 @@
     void watch(std::string_view prefix, std::uint64_t afterRevision, std::chrono::milliseconds wait,
                std::function<void(const MetadataChanges &)> handler) override;
     void write(std::string_view key, std::string_view value, std::string_view lease,
+               std::uint64_t expectedRevision,
                std::function<void(const MetadataResult &)> handler) override;
     void createLease(std::chrono::milliseconds timeToLive,
                      std::function<void(const MetadataLease &)> handler) override;
--- a/libs/gatewaynode/src/eratracker.cpp
+++ b/libs/gatewaynode/src/eratracker.cpp
@@ -95,9 +95,10 @@
 }
 
 void EraTracker::write(std::string_view key, std::string_view value, std::string_view lease,
+                       std::uint64_t expectedRevision,
                        std::function<void(const MetadataResult &)> handler)
 {
-    m_store.write(key, value, lease, filtered(std::move(handler)));
+    m_store.write(key, value, lease, expectedRevision, filtered(std::move(handler)));
 }
 
 void EraTracker::createLease(std::chrono::milliseconds timeToLive,
--- a/libs/gatewaynode/src/membership.cpp
+++ b/libs/gatewaynode/src/membership.cpp
@@ -35,8 +35,8 @@
 Membership::Membership(boost::asio::io_context &context, MetadataStore &store, std::string prefix,
                        std::string node, std::chrono::milliseconds minimumLease,
                        const std::optional<RegisteredNode> &self)
-    : m_store(store), m_prefix(std::move(prefix)), m_ownKey(m_prefix + node),
-      m_registration(self ? encodeRegistration(*self) : std::move(node)),
+    : m_store(store), m_writer(std::make_shared<KeyWriter>(store)), m_prefix(std::move(prefix)),
+      m_ownKey(m_prefix + node), m_registration(self ? encodeRegistration(*self) : std::move(node)),
       m_timeToLive(std::max(leaseTimeToLive, minimumLease)), m_timer(context)
 {
 }
@@ -107,18 +107,18 @@
 
 void Membership::writeRegistration()
 {
-    m_store.write(m_ownKey, m_registration, m_leaseId,
-                  [weak = weak_from_this(), era = m_eraNumber](const MetadataResult &result) {
-                      const std::shared_ptr<Membership> self = weak.lock();
-                      if (!self || !self->isCurrent(era)) {
-                          return;
-                      }
-                      const bool written = result.m_status == MetadataStatus::Ok;
-                      if (!written) {
-                          self->m_leaseId.clear();
-                      }
-                      self->scheduleRenewal(written ? leaseRenewInterval : retryInterval);
-                  });
+    m_writer->write(m_ownKey, m_registration, m_leaseId,
+                    [weak = weak_from_this(), era = m_eraNumber](const MetadataResult &result) {
+                        const std::shared_ptr<Membership> self = weak.lock();
+                        if (!self || !self->isCurrent(era)) {
+                            return;
+                        }
+                        const bool written = result.m_status == MetadataStatus::Ok;
+                        if (!written) {
+                            self->m_leaseId.clear();
+                        }
+                        self->scheduleRenewal(written ? leaseRenewInterval : retryInterval);
+                    });
 }
 
 void Membership::renewLease()
@@ -149,6 +149,7 @@
     }
     ++m_eraNumber;
     m_leaseId.clear();
+    m_writer->storeEraChanged();
     const std::uint64_t bound = static_cast<std::uint64_t>(reregistrationSpread.count()) + 1;
     RandomGenerator random{stableHash(m_ownKey) ^ m_eraNumber};
     scheduleRenewal(std::chrono::milliseconds(nextRandomBelow(random, bound)));
--- a/libs/gatewaynode/src/relayedstore.cpp
+++ b/libs/gatewaynode/src/relayedstore.cpp
@@ -317,9 +317,10 @@
 }
 
 void RelayedStore::write(std::string_view key, std::string_view value, std::string_view lease,
+                         std::uint64_t expectedRevision,
                          std::function<void(const MetadataResult &)> handler)
 {
-    m_store.write(key, value, lease, std::move(handler));
+    m_store.write(key, value, lease, expectedRevision, std::move(handler));
 }
 
 void RelayedStore::createLease(std::chrono::milliseconds timeToLive,
--- a/libs/gatewaynode/tests/crashpublishertest.cpp
+++ b/libs/gatewaynode/tests/crashpublishertest.cpp
@@ -55,6 +55,37 @@
                                                                    {"own/crashes/7/2", "2"}}));
 }
 
+// Guards against a report that the store does late and that undoes a later one: a request that was
+// cleared would be refused again by all nodes.
+TEST_F(CrashPublisherTest, LateWriteUndoesNoLaterOne)
+{
+    m_store.m_writeStatus = MetadataStatus::NoResponse;
+    m_publisher->publish(CrashReport{7, 1, 1});
+    m_store.m_writeStatus = MetadataStatus::Ok;
+    m_publisher->publish(CrashReport{7, 1, 0});
+    runFor(m_context, 1200ms);
+    EXPECT_EQ(m_store.m_items.at("own/crashes/7/1"), "0");
+    m_store.performLateWrites();
+    EXPECT_EQ(m_store.m_items.at("own/crashes/7/1"), "0");
+}
+
+// Guards against reports that are never shared as another node, or a late write of this one, has
+// written their key.
+TEST_F(CrashPublisherTest, WritesAKeyThatAnotherNodeHasWritten)
+{
+    m_store.m_items["own/crashes/7/1"] = "1";
+    m_publisher->publish(CrashReport{7, 1, 0});
+    EXPECT_EQ(m_store.m_items.at("own/crashes/7/1"), "0");
+    m_store.m_writeStatus = MetadataStatus::NoResponse;
+    m_publisher->publish(CrashReport{7, 2, 1});
+    m_store.performLateWrites();
+    m_store.m_writeStatus = MetadataStatus::Ok;
+    m_publisher->publish(CrashReport{7, 2, 2});
+    runFor(m_context, 1200ms);
+    EXPECT_EQ(m_store.m_items.at("own/crashes/7/2"), "2");
+    EXPECT_LE(m_store.m_writeCalls, 6);
+}
+
 // Guards against reports that are lost with a lease that the store has dropped.
 TEST_F(CrashPublisherTest, TakesANewLeaseWhenItsLeaseHasEnded)
 {
--- a/libs/gatewaynode/tests/eratrackertest.cpp
+++ b/libs/gatewaynode/tests/eratrackertest.cpp
@@ -28,7 +28,7 @@
     MetadataStatus writeStatus()
     {
         MetadataStatus status = MetadataStatus::Refused;
-        m_tracker.write("k", "v", "1",
+        m_tracker.write("k" + std::to_string(++m_keys), "v", "1", 0,
                         [&status](const MetadataResult &result) { status = result.m_status; });
         return status;
     }
@@ -41,6 +41,7 @@
     }
 
     boost::asio::io_context m_context;
+    int m_keys = 0; //!< Each write has a key of its own, which does not exist.
     FakeStore m_store;
     std::vector<std::uint64_t> m_changes;
     std::vector<MetadataStatus> m_watchStatus;
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -42,13 +42,47 @@
 }
 
 void FakeStore::write(std::string_view key, std::string_view value, std::string_view /*lease*/,
+                      std::uint64_t expectedRevision,
                       std::function<void(const MetadataResult &)> handler)
 {
-    if (m_writeStatus == MetadataStatus::Ok) {
-        m_items[std::string(key)] = value;
-        ++m_revision;
+    ++m_writeCalls;
+    const Write write{std::string(key), std::string(value), expectedRevision};
+    if (m_writeStatus != MetadataStatus::Ok) {
+        if (m_writeStatus == MetadataStatus::NoResponse) {
+            m_lateWrites.push_back(write);
+        }
+        handler(MetadataResult{m_writeStatus, m_era});
+        return;
+    }
+    const MetadataStatus status = perform(write);
+    handler(MetadataResult{status, m_era, revisionOf(write.m_key)});
+}
+
+void FakeStore::performLateWrites()
+{
+    for (const Write &write : m_lateWrites) {
+        perform(write);
+    }
+    m_lateWrites.clear();
+}
+
+std::uint64_t FakeStore::revisionOf(const std::string &key) const
+{
+    const std::map<std::string, std::uint64_t>::const_iterator found = m_revisions.find(key);
+    if (!m_items.contains(key)) {
+        return 0;
+    }
+    return found != m_revisions.end() ? found->second : 1;
+}
+
+MetadataStatus FakeStore::perform(const Write &write)
+{
+    if (revisionOf(write.m_key) != write.m_expectedRevision) {
+        return MetadataStatus::Conflict;
     }
-    handler(MetadataResult{m_writeStatus, m_era});
+    m_items[write.m_key] = write.m_value;
+    m_revisions[write.m_key] = ++m_revision;
+    return MetadataStatus::Ok;
 }
 
 void FakeStore::createLease(std::chrono::milliseconds timeToLive,
--- a/libs/gatewaynode/tests/membershiptest.cpp
+++ b/libs/gatewaynode/tests/membershiptest.cpp
@@ -41,6 +41,32 @@
     EXPECT_EQ(membership->nodeCount(bootTimeNow() + 60s), 1);
 }
 
+// Guards against a registration of an earlier process of the node that the store does late: other
+// nodes would use the link of the earlier one.
+TEST(Membership, LateRegistrationOfAnEarlierProcessIsNotWritten)
+{
+    boost::asio::io_context context;
+    FakeStore store;
+    RegisteredNode self{"n0", "a", NodeLinkSettings{}};
+    const auto process = [&](std::uint16_t port) {
+        self.m_link.m_address = "127.0.0.1";
+        self.m_link.m_port = port;
+        const std::shared_ptr<Membership> membership =
+            std::make_shared<Membership>(context, store, "own/nodes/", "n0", 1s, self);
+        membership->start();
+        return membership;
+    };
+    store.m_writeStatus = MetadataStatus::NoResponse;
+    process(1000)->stop();
+    store.m_writeStatus = MetadataStatus::Ok;
+    const std::shared_ptr<Membership> restarted = process(2000);
+    store.performLateWrites();
+    const std::optional<RegisteredNode> registered =
+        decodeRegistration("n0", store.m_items.at("own/nodes/n0"));
+    ASSERT_TRUE(registered);
+    EXPECT_EQ(registered->m_link.m_port, 2000);
+}
+
 // Guards against a node that is no longer counted after its registration was removed.
 TEST(Membership, RegistersAgainWhenItsKeyIsRemoved)
 {
--- a/standins/platform-standin/platform.h
+++ b/standins/platform-standin/platform.h
@@ -63,6 +63,8 @@
     void readKey(const HttpRequest &request, const Responder &responder);
     void readRange(const HttpRequest &request, const Responder &responder);
     void commit(const HttpRequest &request, const Responder &responder);
+    //! @brief Current state of the keys that a call of commit() expects.
+    boost::json::array currentItems(const boost::json::object &body);
     void startLease(const HttpRequest &request, const Responder &responder);
     void completePrefixWatches();
 
