Keep what belongs to a route only while its name means the same

The credits of a weighted split are kept by the name of the route and were reset only when the number of services changed; a credit of 50 from weights of 50 and 50 is paid off in 50 requests at weights of 1 and 0. Latencies, the hedge delay and the longest time to a deadline were kept by the name as well, whatever the route led to.

Change: a new version drops what was kept of routes that it does not have; credits if services or weights differ, latencies if host, prefix, services or shards differ, the longest time to a deadline if the timeout differs. Requests of earlier versions leave the state of the present one alone. A service without weight is never selected. By reading, the other state that is kept by a name holds: budgets and queues of services are counted by time, and buckets of quotas follow each new limit and begin empty for a new organisation (LoweredLimitCutsTheBucketAtOnce, OrganisationsComeAndGo).

--- a/libs/forwarding/include/forwarding/forwarding.h
+++ b/libs/forwarding/include/forwarding/forwarding.h
@@ -29,6 +29,8 @@
 {
     std::string m_service;
     double m_weight = 1.0;
+
+    bool operator==(const WeightedService &other) const = default;
 };
 
 //! @brief Forwarding rules for requests with a given host and path prefix.
@@ -150,9 +152,9 @@
 
 //! @brief Selects a service by smooth weighted round robin and returns its index.
 //!
-//! Unlike random selection, this matches the weights after only a few requests.
-//! @param credits State of the route, kept between calls; reset when the number of services
-//! changes.
+//! Unlike random selection, this matches the weights after only a few requests. A service without
+//! weight is never selected, unless none has any.
+//! @param credits State of the route, kept between calls with the same services and weights.
 std::size_t selectWeightedService(std::span<const WeightedService> services,
                                   std::vector<double> &credits);
 
--- a/libs/forwarding/src/details/enginestate.h
+++ b/libs/forwarding/src/details/enginestate.h
@@ -18,6 +18,15 @@
     Duration m_maximumTimeLeft{0}; //!< Longest time to deadline seen on this route.
 };
 
+using RouteLatencyPointer = std::shared_ptr<RouteLatency>;
+
+//! @brief What is kept of a route from version to version, as long as its name means the same.
+struct RouteState
+{
+    RouteLatencyPointer m_latency;      //!< Shared with the requests in flight.
+    std::vector<double> m_splitCredits; //!< Of selectWeightedService().
+};
+
 struct ServiceState
 {
     std::string m_name;
@@ -55,7 +64,7 @@
     ForwardRequestPointer m_request;
     RoutingTablePointer m_routingTable;
     const Route *m_route = nullptr;
-    RouteLatency *m_routeLatency = nullptr;
+    RouteLatencyPointer m_routeLatency;
     TimePoint m_arrivedAt;
     TimePoint m_ownDeadline;     //!< By the caller's time and the route.
     TimePoint m_deadline;        //!< Earlier than the own one in a planned stop.
@@ -74,7 +83,7 @@
     std::size_t m_subrequestIndex = 0;
     TargetPointer m_target;
     ServiceState *m_service = nullptr;
-    RouteLatency *m_routeLatency = nullptr;
+    RouteLatencyPointer m_routeLatency;
     TimePoint m_sentAt;
     ForwardRequestPointer m_request;
 };
@@ -172,8 +181,12 @@
     void clearRequest(TimePoint now, std::uint64_t fingerprint);
     void shareCrashes(TimePoint now);
 
-    // Latency statistics (timing.cpp)
-    RouteLatency &routeLatency(const Route &route);
+    // State of routes (routestate.cpp)
+    //! @brief Forgets what was kept of routes that the table does not have, or has with another
+    //! meaning.
+    void forgetChangedRoutes(const RoutingTable &next);
+    RouteLatencyPointer routeLatency(const RoutingTable &table, const Route &route);
+    std::size_t selectService(const RoutingTable &table, const Route &route);
 
     // Attempts (attempts.cpp)
     void recordRequest(TimePoint now, const PendingRequest &pending, ServiceState &service) const;
@@ -245,8 +258,7 @@
     CrashTable m_crashes;
     ForwardStatistics m_statistics;
     std::unordered_map<std::string, std::unique_ptr<ServiceState>> m_services;
-    std::unordered_map<std::string, std::unique_ptr<RouteLatency>> m_latencyByRoute;
-    std::unordered_map<std::string, std::vector<double>> m_splitCreditsByRoute;
+    std::unordered_map<std::string, RouteState> m_routeStates; //!< By the name of the route.
     std::unordered_map<std::uint64_t, std::unique_ptr<PendingRequest>> m_pendingRequests;
     std::unordered_map<std::uint64_t, std::uint64_t> m_pendingIdByCaller;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
@@ -257,6 +269,9 @@
     std::uint64_t m_lastId = 0;      //!< Of requests and attempts.
 };
 
+//! @brief Statistics of a route on which nothing was measured yet.
+RouteLatency initialRouteLatency(const Route &route);
+
 //! @brief Adds the latency of a successful attempt to the statistics of its route.
 void recordRouteLatency(RouteLatency &statistics, Duration latency);
 
--- a/libs/forwarding/src/engine.cpp
+++ b/libs/forwarding/src/engine.cpp
@@ -39,6 +39,7 @@
     if (current && table->m_version <= current->m_version) {
         return false;
     }
+    m_implementation->forgetChangedRoutes(*table);
     current = std::move(table);
     return true;
 }
@@ -187,7 +188,7 @@
     pending->m_request = request;
     pending->m_routingTable = routingTableOf(*request);
     pending->m_route = &route;
-    pending->m_routeLatency = &routeLatency(route);
+    pending->m_routeLatency = routeLatency(*pending->m_routingTable, route);
     pending->m_arrivedAt = now - request->m_timeHeld;
     const Duration timeLeft = request->m_timeLeft.value_or(route.m_timeout);
     Duration elapsedBefore =
@@ -211,8 +212,7 @@
 {
     const Route &route = *pending.m_route;
     if (route.m_shards.empty()) {
-        const std::size_t choice =
-            selectWeightedService(route.m_services, m_splitCreditsByRoute[route.m_name]);
+        const std::size_t choice = selectService(*pending.m_routingTable, route);
         pending.m_subrequests.resize(1);
         pending.m_subrequests[0].m_service = &serviceState(route.m_services[choice].m_service);
         return;
--- a/libs/forwarding/src/routingtable.cpp
+++ b/libs/forwarding/src/routingtable.cpp
@@ -34,17 +34,22 @@
         credits.assign(services.size(), 0.0);
     }
     double total = 0.0;
-    std::size_t best = 0;
+    std::size_t best = services.size();
     for (std::size_t index = 0; index < services.size(); ++index) {
+        if (services[index].m_weight <= 0.0) {
+            credits[index] = 0.0;
+            continue;
+        }
         credits[index] += services[index].m_weight;
         total += services[index].m_weight;
-        if (credits[index] > credits[best]) {
+        if (best == services.size() || credits[index] > credits[best]) {
             best = index;
         }
     }
-    if (!credits.empty()) {
-        credits[best] -= total;
+    if (best == services.size()) {
+        return 0;
     }
+    credits[best] -= total;
     return best;
 }
 
--- a/libs/forwarding/src/timing.cpp
+++ b/libs/forwarding/src/timing.cpp
@@ -23,16 +23,13 @@
 
 } // namespace
 
-RouteLatency &ForwardEngine::Implementation::routeLatency(const Route &route)
+RouteLatency initialRouteLatency(const Route &route)
 {
-    std::unique_ptr<RouteLatency> &statistics = m_latencyByRoute[route.m_name];
-    if (!statistics) {
-        statistics = std::make_unique<RouteLatency>();
-        statistics->m_typicalLatency = route.m_latencyTarget / initialLatencyDivisor;
-        statistics->m_hedgeDelay = route.m_latencyTarget / initialHedgeDelayDivisor;
-        statistics->m_slowLatency = route.m_latencyTarget;
-    }
-    return *statistics;
+    RouteLatency statistics;
+    statistics.m_typicalLatency = route.m_latencyTarget / initialLatencyDivisor;
+    statistics.m_hedgeDelay = route.m_latencyTarget / initialHedgeDelayDivisor;
+    statistics.m_slowLatency = route.m_latencyTarget;
+    return statistics;
 }
 
 void recordRouteLatency(RouteLatency &statistics, Duration latency)
--- a/libs/forwarding/tests/routingtest.cpp
+++ b/libs/forwarding/tests/routingtest.cpp
@@ -57,6 +57,21 @@
     EXPECT_EQ(counts, (std::array<int, 3>{70, 20, 10}));
 }
 
+// Guards against requests at a service without weight, also if it is paid off from the credits of
+// earlier weights.
+TEST(Routing, NeverSelectsAServiceWithoutWeight)
+{
+    const std::array<WeightedService, 2> equal{{{"a", 50.0}, {"b", 50.0}}};
+    const std::array<WeightedService, 2> first{{{"a", 1.0}, {"b", 0.0}}};
+    const std::array<WeightedService, 2> second{{{"a", 0.0}, {"b", 1.0}}};
+    std::vector<double> credits;
+    EXPECT_EQ(selectWeightedService(equal, credits), 0U);
+    for (int request = 0; request < 10; ++request) {
+        EXPECT_EQ(selectWeightedService(first, credits), 0U);
+    }
+    EXPECT_EQ(selectWeightedService(second, credits), 1U);
+}
+
 // Guards against comparing bytes as signed values, dropping duplicates and keeping incomplete
 // records.
 TEST(Records, MergesTheGreatestByUnsignedBytesWithDuplicates)
