Watch for a short time until a silent store has answered again

A watch that is sent just before the store's return is lost and was given up only after its wait of 3 s, 0.8 s more and a pause of up to 1.2 s; contactMs is 4 s.

Change: after a failed watch the next ones wait for 0.1 s, until one has succeeded. So a node hears of changes at most 0.9 s and the pause after the store's return. Weighed: a shorter wait of all watches, which costs calls of the store in calm.

Result: PrefixWatcherTest.WatchesForAShortTimeUntilTheStoreHasAnswered fails before (the waits were 3 s).

--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -12,6 +12,10 @@
 // The store already has the changes since a stale read, so there is no need to wait for them.
 constexpr std::chrono::milliseconds catchUpWatchTimeout{1};
 
+// A store that does not answer may be back at any moment. A watch that is sent just before then is
+// lost and ends only after its wait, so the wait is short until one has succeeded.
+constexpr std::chrono::milliseconds recoveryWatchTimeout{100};
+
 constexpr std::chrono::milliseconds initialRetryDelay{100};
 constexpr std::chrono::milliseconds maximumRetryDelay{800};
 
@@ -172,7 +176,10 @@
 
 void PrefixWatcher::watch(std::uint64_t generation)
 {
-    m_store.watch(m_prefix, m_revision, m_options.m_watchTimeout,
+    const std::chrono::milliseconds wait =
+        m_consecutiveFailures > 0 ? std::min(recoveryWatchTimeout, m_options.m_watchTimeout)
+                                  : m_options.m_watchTimeout;
+    m_store.watch(m_prefix, m_revision, wait,
                   [weak = weak_from_this(), generation](const MetadataChanges &changes) {
                       const std::shared_ptr<PrefixWatcher> self = weak.lock();
                       if (self && self->m_generation == generation) {
--- a/libs/gatewaynode/tests/fakestore.cpp
+++ b/libs/gatewaynode/tests/fakestore.cpp
@@ -38,7 +38,7 @@
         handler(MetadataChanges{MetadataStatus::Ok, {}, afterRevision, m_era});
         return;
     }
-    m_pendingWatches.push_back(Watch{afterRevision, std::move(handler)});
+    m_pendingWatches.push_back(Watch{afterRevision, wait, std::move(handler)});
 }
 
 void FakeStore::write(std::string_view key, std::string_view value, std::string_view /*lease*/,
--- a/libs/gatewaynode/tests/fakestore.h
+++ b/libs/gatewaynode/tests/fakestore.h
@@ -18,6 +18,7 @@
     struct Watch
     {
         std::uint64_t m_afterRevision = 0;
+        std::chrono::milliseconds m_wait{0};
         std::function<void(const MetadataChanges &)> m_handler;
     };
 
--- a/libs/gatewaynode/tests/prefixwatchertest.cpp
+++ b/libs/gatewaynode/tests/prefixwatchertest.cpp
@@ -49,6 +49,21 @@
     EXPECT_EQ(m_store.m_pendingWatches[0].m_afterRevision, 10U);
 }
 
+// Guards against a node that stays blind for the whole wait of a watch which it sent just before
+// the store was back: it followed the earlier configuration for longer than the bound.
+TEST_F(PrefixWatcherTest, WatchesForAShortTimeUntilTheStoreHasAnswered)
+{
+    m_watcher->start();
+    EXPECT_EQ(m_store.m_pendingWatches.at(0).m_wait, 3s);
+    for (int failure = 0; failure < 2; ++failure) {
+        m_store.completeWatch(MetadataStatus::NoResponse, {}, 0);
+        runFor(m_context, 400ms);
+        EXPECT_LE(m_store.m_pendingWatches.at(0).m_wait, 200ms);
+    }
+    m_store.completeWatch(MetadataStatus::Ok, {}, 11);
+    EXPECT_EQ(m_store.m_pendingWatches.at(0).m_wait, 3s);
+}
+
 // Guards against one watch call for each change of a series, as calls are billed.
 TEST_F(PrefixWatcherTest, DelaysTheNextWatchToBatchChanges)
 {
