Keep no long values of other writers while the store is listed

Change: values above 16 KiB are dropped as their page arrives, those of keys that nothing reads all; the configuration is kept whole. An entry of a target above 16 KiB is unreadable, in a listing and in a change alike.

--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -37,6 +38,9 @@
         std::function<void(const std::vector<MetadataItem> &)> m_snapshot; //!< Complete listing.
         std::function<void(const std::vector<MetadataEvent> &)> m_changes;
         std::function<void(bool available)> m_availability; //!< After each success or failure.
+        //! Size in bytes up to which a value is of use. Longer ones are reported as empty, so that
+        //! a listing takes little memory. Without this handler, all are reported.
+        std::function<std::size_t(std::string_view key)> m_valueLimit;
     };
 
     PrefixWatcher(boost::asio::io_context &context, MetadataStore &store, std::string prefix,
@@ -73,6 +77,7 @@
 
     void handlePage(std::uint64_t generation, const std::string &after, const MetadataPage &page);
     void completeListing(std::uint64_t generation);
+    MetadataItem withoutLongValue(const MetadataItem &item) const;
     void catchUp(std::uint64_t generation);
     void handleCatchUp(std::uint64_t generation, const MetadataChanges &changes);
     void watch(std::uint64_t generation);
--- a/libs/gatewaynode/src/details/storesync.h
+++ b/libs/gatewaynode/src/details/storesync.h
@@ -58,6 +58,8 @@
     void applyTarget(const MetadataItem &item);
     void removeTarget(std::string_view key, std::string_view reason);
     TargetPointer findTarget(std::string_view id) const;
+    //! @brief Size in bytes up to which the value of the key is read.
+    std::size_t valueLimit(std::string_view key) const;
     //! @param isCertain false if the target may be alive without an entry.
     void recordRemoval(std::string_view id, bool isCertain);
     void handleAvailability(bool available);
--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -19,14 +19,12 @@
 constexpr std::chrono::milliseconds initialRetryDelay{100};
 constexpr std::chrono::milliseconds maximumRetryDelay{800};
 
-void applyEvents(std::vector<MetadataItem> &items, const std::vector<MetadataEvent> &events)
+void applyEvent(std::vector<MetadataItem> &items, const MetadataEvent &event)
 {
-    for (const MetadataEvent &event : events) {
-        std::erase_if(
-            items, [&event](const MetadataItem &item) { return item.m_key == event.m_item.m_key; });
-        if (!event.m_removed) {
-            items.push_back(event.m_item);
-        }
+    std::erase_if(items,
+                  [&event](const MetadataItem &item) { return item.m_key == event.m_item.m_key; });
+    if (!event.m_removed) {
+        items.push_back(event.m_item);
     }
 }
 
@@ -115,7 +113,9 @@
     m_changedAfter = page.m_changedAfter;
     m_oldestRevision =
         m_items.empty() ? page.m_storeRevision : std::min(m_oldestRevision, page.m_storeRevision);
-    m_items.insert(m_items.end(), page.m_items.begin(), page.m_items.end());
+    for (const MetadataItem &item : page.m_items) {
+        m_items.push_back(withoutLongValue(item));
+    }
     if (hasMore) {
         listPage(generation, last);
         return;
@@ -128,6 +128,13 @@
     completeListing(generation);
 }
 
+MetadataItem PrefixWatcher::withoutLongValue(const MetadataItem &item) const
+{
+    const bool isLong =
+        m_handlers.m_valueLimit && item.m_value.size() > m_handlers.m_valueLimit(item.m_key);
+    return isLong ? MetadataItem{item.m_key, std::string(), item.m_revision} : item;
+}
+
 void PrefixWatcher::completeListing(std::uint64_t generation)
 {
     const std::vector<MetadataItem> items = std::move(m_items);
@@ -165,7 +172,9 @@
         scheduleRetry(generation, true);
         return;
     }
-    applyEvents(m_items, changes.m_events);
+    for (const MetadataEvent &event : changes.m_events) {
+        applyEvent(m_items, MetadataEvent{withoutLongValue(event.m_item), event.m_removed});
+    }
     m_revision = std::max(m_revision, changes.m_storeRevision);
     if (changes.m_events.size() >= backlogThreshold) {
         catchUp(generation);
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <set>
 #include <utility>
@@ -14,6 +15,9 @@
 // are recorded, unreadable entries are no longer logged.
 constexpr std::size_t maximumUnreadableEntries = 1000;
 
+// Entries of targets and nodes have a few short fields; far longer values come from something else.
+constexpr std::size_t entryLimitBytes = 16 * 1024;
+
 // Reason for a removal by whoever wrote the entry.
 constexpr std::string_view removedReason = "removed";
 
@@ -42,10 +46,21 @@
     handlers.m_availability = [this](bool available) { handleAvailability(available); };
     handlers.m_snapshot = [this](const std::vector<MetadataItem> &items) { applySnapshot(items); };
     handlers.m_changes = [this](const std::vector<MetadataEvent> &events) { applyChanges(events); };
+    handlers.m_valueLimit = [this](std::string_view key) { return valueLimit(key); };
     m_watcher = std::make_shared<PrefixWatcher>(context, store, format.m_watchedPrefix, options,
                                                 std::move(handlers));
 }
 
+std::size_t StoreSync::valueLimit(std::string_view key) const
+{
+    if (key == m_format.m_configurationKey) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    const bool isRead =
+        key.starts_with(m_format.m_targetPrefix) || key.starts_with(m_format.m_writablePrefix);
+    return isRead ? entryLimitBytes : 0;
+}
+
 void StoreSync::start(std::function<void()> changeHandler)
 {
     m_changeHandler = std::move(changeHandler);
@@ -208,7 +223,9 @@
 void StoreSync::applyTarget(const MetadataItem &item)
 {
     const std::string_view id = std::string_view(item.m_key).substr(m_format.m_targetPrefix.size());
-    Checked<TargetEntry> entry = m_format.m_decodeTarget(id, item.m_value);
+    const std::string_view value =
+        item.m_value.size() > entryLimitBytes ? std::string_view() : item.m_value;
+    Checked<TargetEntry> entry = m_format.m_decodeTarget(id, value);
     if (!entry) {
         const std::uint64_t hash = stableHash(item.m_value);
         if (m_loggedUnreadable.size() < maximumUnreadableEntries
