--- a/libs/gatewaynode/src/details/entryhistory.h
+++ b/libs/gatewaynode/src/details/entryhistory.h
@@ -83,8 +83,8 @@
         bool m_isRemoved = false;
         bool m_mayReturnUnchanged = false;
         TimePoint m_removedAt;
-        //! Revision of an outdated entry that is in the store; 0: none.
-        std::uint64_t m_outdatedRevision = 0;
+        bool m_hasOutdatedEntry = false;      //!< In the store.
+        std::uint64_t m_outdatedRevision = 0; //!< Of that entry; 0: not known.
     };
 
     bool mayBeFromCopy(const TargetEntry &entry) const;
--- a/libs/gatewaynode/src/entryhistory.cpp
+++ b/libs/gatewaynode/src/entryhistory.cpp
@@ -20,10 +20,10 @@
 void EntryHistory::forgetEntry(TimePoint now, std::string_view id)
 {
     const std::unordered_map<std::string, Record>::iterator found = m_records.find(std::string(id));
-    if (found == m_records.end() || found->second.m_outdatedRevision == 0) {
+    if (found == m_records.end() || !found->second.m_hasOutdatedEntry) {
         return;
     }
-    found->second.m_outdatedRevision = 0;
+    found->second.m_hasOutdatedEntry = false;
     rememberUntilPurged(now, found->first, found->second);
 }
 
@@ -34,10 +34,10 @@
         if (present.contains(record.first)) {
             continue;
         }
-        const bool wasPresent = !record.second.m_isRemoved || record.second.m_outdatedRevision != 0;
+        const bool wasPresent = !record.second.m_isRemoved || record.second.m_hasOutdatedEntry;
         record.second.m_mayReturnUnchanged =
             record.second.m_mayReturnUnchanged || !record.second.m_isRemoved;
-        record.second.m_outdatedRevision = 0;
+        record.second.m_hasOutdatedEntry = false;
         if (wasPresent) {
             rememberUntilPurged(now, record.first, record.second);
         }
@@ -47,6 +47,10 @@
 void EntryHistory::beginRestored(std::uint64_t revision)
 {
     m_restoredUpTo = revision;
+    // The restored store gives out revisions again.
+    for (std::pair<const std::string, Record> &record : m_records) {
+        record.second.m_outdatedRevision = 0;
+    }
 }
 
 bool EntryHistory::isOutdated(TimePoint now, const TargetEntry &entry)
@@ -58,13 +62,14 @@
         return false;
     }
     Record &record = found->second;
-    const bool isKnownAsOutdated =
-        entry.m_revision != 0 && entry.m_revision == record.m_outdatedRevision;
+    const bool isKnownAsOutdated = record.m_hasOutdatedEntry && record.m_outdatedRevision != 0
+                                   && entry.m_revision == record.m_outdatedRevision;
     const bool isOutdated =
         isKnownAsOutdated
         || (entry.m_started == record.m_latest.m_started ? isOlderReport(now, entry, record)
                                                          : isOfReplacedProcess(now, entry, record));
     if (isOutdated) {
+        record.m_hasOutdatedEntry = true;
         record.m_outdatedRevision = entry.m_revision;
         return true;
     }
@@ -140,7 +145,7 @@
 {
     const Report previous = std::exchange(record.m_latest, makeReport(now, entry));
     record.m_isRemoved = false;
-    record.m_outdatedRevision = 0;
+    record.m_hasOutdatedEntry = false;
     if (previous.m_started == entry.m_started) {
         record.m_latest.m_hasEarlierStart = previous.m_hasEarlierStart;
         return;
@@ -173,7 +178,7 @@
             m_records.find(oldest.second);
         const bool isLatest = found != m_records.end() && found->second.m_isRemoved
                               && found->second.m_removedAt == oldest.first;
-        if (isLatest && found->second.m_outdatedRevision == 0) {
+        if (isLatest && !found->second.m_hasOutdatedEntry) {
             m_records.erase(found);
         }
     }
--- a/libs/gatewaynode/src/storesync.cpp
+++ b/libs/gatewaynode/src/storesync.cpp
@@ -260,8 +260,6 @@
         event = "target-restarted";
     } else if (change == EntryChange::Draining) {
         event = "target-draining";
-    } else if (change == EntryChange::Stale) {
-        event = "target-entry-stale";
     }
     m_log.write(LogLevel::Info, event, "",
                 {{"target", id},
--- a/libs/gatewaynode/tests/entryhistorytest.cpp
+++ b/libs/gatewaynode/tests/entryhistorytest.cpp
@@ -98,6 +98,18 @@
     EXPECT_EQ(m_history.size(), 1U);
 }
 
+// Guards against an entry that is outdated for good as its revision is that of an outdated entry
+// from before a restore of the store, which gives out revisions again.
+TEST_F(EntryHistoryTest, RevisionsOfARestoredStoreAreNew)
+{
+    EXPECT_FALSE(isOutdated(10, 5));
+    EXPECT_TRUE(isOutdated(10, 4));
+    const std::uint64_t outdatedRevision = m_revision;
+    m_history.beginRestored(outdatedRevision - 1);
+    m_revision = outdatedRevision - 1;
+    EXPECT_FALSE(isOutdated(10, 6));
+}
+
 // Guards against outdated entries that are remembered after they have left the store.
 TEST_F(EntryHistoryTest, OutdatedEntryIsForgottenOnceItIsMissing)
 {
--- a/libs/gatewaynode/tests/prefixwatchertest.cpp
+++ b/libs/gatewaynode/tests/prefixwatchertest.cpp
@@ -1,3 +1,5 @@
+#include <stdexcept>
+
 #include <gtest/gtest.h>
 
 #include "details/prefixwatcher.h"
@@ -20,6 +22,9 @@
             m_itemCount = items.size();
         };
         handlers.m_changes = [this](const std::vector<MetadataEvent> &events) {
+            if (m_throws) {
+                throw std::length_error("as a library throws for input beyond its limits");
+            }
             m_eventCount += events.size();
         };
         handlers.m_availability = [this](bool available) { m_available = available; };
@@ -34,6 +39,7 @@
     std::size_t m_eventCount = 0;
     int m_snapshotCount = 0;
     bool m_available = false;
+    bool m_throws = false;
 };
 
 } // namespace
@@ -64,6 +70,21 @@
     EXPECT_EQ(m_store.m_pendingWatches.at(0).m_wait, 3s);
 }
 
+// Guards against changes whose handling ends with an exception and that end the process, or leave
+// the node with what it knew then for good.
+TEST_F(PrefixWatcherTest, ListsAgainAfterAnException)
+{
+    m_watcher->start();
+    m_throws = true;
+    m_store.completeWatch(MetadataStatus::Ok, {makeEvent("a", "1", 11)}, 11);
+    m_throws = false;
+    EXPECT_EQ(m_snapshotCount, 1);
+    runFor(m_context, 400ms);
+    EXPECT_EQ(m_snapshotCount, 2);
+    EXPECT_EQ(m_store.m_strongListCalls, 1);
+    EXPECT_EQ(m_store.m_pendingWatches.size(), 1U);
+}
+
 // Guards against one watch call for each change of a series, as calls are billed.
 TEST_F(PrefixWatcherTest, DelaysTheNextWatchToBatchChanges)
 {
--- a/libs/peer/tests/peertest.cpp
+++ b/libs/peer/tests/peertest.cpp
@@ -1,6 +1,7 @@
 #include "peer/peer.h"
 
 #include <array>
+#include <stdexcept>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -74,6 +75,29 @@
     EXPECT_EQ(receiver.statistics().m_malformed, 1U);
 }
 
+// Guards against a datagram whose handling ends with an exception and that ends the process, or the
+// receiving of all others.
+TEST_F(PeerTest, ExceptionEndsOneDatagramOnly)
+{
+    int received = 0;
+    DatagramSocket receiver(m_context,
+                            [&](const std::string &, std::uint16_t, std::string_view bytes) {
+                                if (bytes == "throw") {
+                                    throw std::length_error("as a library throws");
+                                }
+                                ++received;
+                                return true;
+                            });
+    DatagramSocket sender(m_context, nullptr);
+    const std::uint16_t port = receiver.open(loopbackAddress, 0, m_error);
+    ASSERT_NE(sender.open(loopbackAddress, 0, m_error), 0) << m_error;
+    sender.send(loopbackAddress, port, "throw");
+    sender.send(loopbackAddress, port, "good");
+    m_context.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(received, 1);
+    EXPECT_EQ(receiver.statistics().m_exceptions, 1U);
+}
+
 // Guards against a configuration document of the maximum size that a peer cannot pull.
 TEST_F(PeerTest, CallReturnsALargeReply)
 {
