Order a process with its clock set back by its number; one handling of failed watches

Cause: a report of the earlier process that was never seen, done after a process had started again with its clock set back, took the id back until the next report of the new one. The number tells more: it begins anew with each process. The replies of a watch and of the watch after a listing were checked by the same lines twice.

One function says what follows a failed watch.

--- a/libs/gatewaynode/src/details/entryhistory.h
+++ b/libs/gatewaynode/src/details/entryhistory.h
@@ -22,7 +22,9 @@
 //! - An entry of the process in use is older if its number is lower.
 //! - An entry of a process that another one has replaced is older.
 //! - An entry of a process that was never seen under the id is that of a new process, whatever
-//!   start time it states: the clock of its VM may have been set back.
+//!   start time it states: the clock of its VM may have been set back. A process numbers its
+//!   reports anew, so if the number is not lower, this may be a late report of an earlier process;
+//!   then the one of the two that goes on to report is used.
 //!
 //! A removed target is used again once it has written a later entry. After a restore, entries up to
 //! the revision of the first listing may be from the copy, in which a process that was never seen
@@ -71,8 +73,8 @@
         std::int64_t m_started = 0;
         std::int64_t m_sequence = 0;
         bool m_isDraining = false;
-        //! It replaced a process that stated a later start.
-        bool m_hasEarlierStart = false;
+        //! It replaced a process that stated a later start, and may be an earlier one all the same.
+        bool m_isOrderUnknown = false;
         TimePoint m_learnedAt; //!< For a replaced process, when it was replaced.
     };
 
--- a/libs/gatewaynode/src/details/prefixwatcher.h
+++ b/libs/gatewaynode/src/details/prefixwatcher.h
@@ -79,6 +79,10 @@
     void completeListing(std::uint64_t generation);
     MetadataItem withoutLongValue(const MetadataItem &item) const;
     void catchUp(std::uint64_t generation);
+    //! @brief Schedules what follows a failed watch.
+    //! @param relist whether a call without a usable reply is followed by a listing.
+    //! @return false if the watch has not failed.
+    bool recoverFrom(std::uint64_t generation, MetadataStatus status, bool relist);
     void handleCatchUp(std::uint64_t generation, const MetadataChanges &changes);
     void watch(std::uint64_t generation);
     void handleChanges(std::uint64_t generation, const MetadataChanges &changes);
--- a/libs/gatewaynode/src/entryhistory.cpp
+++ b/libs/gatewaynode/src/entryhistory.cpp
@@ -118,9 +118,8 @@
     if (entry.m_sequence <= replaced->m_sequence) {
         return true;
     }
-    // Of two processes whose start times are not in the order in which they were seen, it is not
-    // known which one is the earlier; the one that goes on to report is alive.
-    const bool isOrderUnknown = !startedEarlier || replaced->m_hasEarlierStart;
+    const bool isOrderUnknown =
+        startedEarlier ? replaced->m_isOrderUnknown : record.m_latest.m_isOrderUnknown;
     if (isOrderUnknown || now - replaced->m_learnedAt >= lateWriteBound) {
         return false;
     }
@@ -147,10 +146,11 @@
     record.m_isRemoved = false;
     record.m_hasOutdatedEntry = false;
     if (previous.m_started == entry.m_started) {
-        record.m_latest.m_hasEarlierStart = previous.m_hasEarlierStart;
+        record.m_latest.m_isOrderUnknown = previous.m_isOrderUnknown;
         return;
     }
-    record.m_latest.m_hasEarlierStart = entry.m_started < previous.m_started;
+    record.m_latest.m_isOrderUnknown =
+        entry.m_started < previous.m_started && entry.m_sequence >= previous.m_sequence;
     std::erase_if(record.m_replaced,
                   [&entry](const Report &report) { return report.m_started == entry.m_started; });
     record.m_replaced.push_back(previous);
--- a/libs/gatewaynode/src/prefixwatcher.cpp
+++ b/libs/gatewaynode/src/prefixwatcher.cpp
@@ -157,19 +157,27 @@
                   });
 }
 
-void PrefixWatcher::handleCatchUp(std::uint64_t generation, const MetadataChanges &changes)
+bool PrefixWatcher::recoverFrom(std::uint64_t generation, MetadataStatus status, bool relist)
 {
-    if (changes.m_status == MetadataStatus::HistoryUnavailable) {
+    switch (status) {
+    case MetadataStatus::Ok:
+        return false;
+    case MetadataStatus::HistoryUnavailable:
         restart(ReadConsistency::Strong);
-        return;
-    }
-    if (changes.m_status == MetadataStatus::Unreadable) {
+        return true;
+    case MetadataStatus::Unreadable:
         scheduleStrongListing(generation);
-        return;
-    }
-    if (changes.m_status != MetadataStatus::Ok) {
+        return true;
+    default:
         m_items.clear();
-        scheduleRetry(generation, true);
+        scheduleRetry(generation, relist);
+        return true;
+    }
+}
+
+void PrefixWatcher::handleCatchUp(std::uint64_t generation, const MetadataChanges &changes)
+{
+    if (recoverFrom(generation, changes.m_status, true)) {
         return;
     }
     for (const MetadataEvent &event : changes.m_events) {
@@ -200,16 +208,7 @@
 
 void PrefixWatcher::handleChanges(std::uint64_t generation, const MetadataChanges &changes)
 {
-    if (changes.m_status == MetadataStatus::HistoryUnavailable) {
-        restart(ReadConsistency::Strong);
-        return;
-    }
-    if (changes.m_status == MetadataStatus::Unreadable) {
-        scheduleStrongListing(generation);
-        return;
-    }
-    if (changes.m_status != MetadataStatus::Ok) {
-        scheduleRetry(generation, false);
+    if (recoverFrom(generation, changes.m_status, false)) {
         return;
     }
     m_consecutiveFailures = 0;
