One log line for exceptions in handlers; state of missing entries in plain steps

Change: logHandlerException() beside the log; one copy of the statistics; the function leaves out ids on which nothing changes, and its comment says what it records. Behaviour and tests stay.

--- a/libs/gatewaynode/src/details/entryhistory.h
+++ b/libs/gatewaynode/src/details/entryhistory.h
@@ -50,7 +50,8 @@
     //! @brief Records that an entry which was out of date has left the store.
     void forgetEntry(TimePoint now, std::string_view id);
 
-    //! @brief Calls forgetEntry() for all ids that a complete listing does not have.
+    //! @brief Records what a complete listing does not have: outdated entries have left the store,
+    //! and targets whose removal was not recorded may come back with the same entry.
     void forgetMissingEntries(TimePoint now, std::span<const std::string> presentIds);
 
     //! @brief Called when the first listing after a restore is complete.
--- a/libs/gatewaynode/src/entryhistory.cpp
+++ b/libs/gatewaynode/src/entryhistory.cpp
@@ -30,17 +30,17 @@
 void EntryHistory::forgetMissingEntries(TimePoint now, std::span<const std::string> presentIds)
 {
     const std::unordered_set<std::string_view> present(presentIds.begin(), presentIds.end());
-    for (std::pair<const std::string, Record> &record : m_records) {
-        if (present.contains(record.first)) {
+    for (std::pair<const std::string, Record> &item : m_records) {
+        Record &record = item.second;
+        const bool isOver = record.m_isRemoved && !record.m_hasOutdatedEntry;
+        if (isOver || present.contains(item.first)) {
             continue;
         }
-        const bool wasPresent = !record.second.m_isRemoved || record.second.m_hasOutdatedEntry;
-        record.second.m_mayReturnUnchanged =
-            record.second.m_mayReturnUnchanged || !record.second.m_isRemoved;
-        record.second.m_hasOutdatedEntry = false;
-        if (wasPresent) {
-            rememberUntilPurged(now, record.first, record.second);
+        if (!record.m_isRemoved) {
+            record.m_mayReturnUnchanged = true;
         }
+        record.m_hasOutdatedEntry = false;
+        rememberUntilPurged(now, item.first, record);
     }
 }
 
--- a/libs/gatewaynode/src/metrics.cpp
+++ b/libs/gatewaynode/src/metrics.cpp
@@ -95,6 +95,7 @@
 {
     const ForwardStatistics &engine = m_engine.statistics();
     const ForwardClientStatistics &client = m_client.statistics();
+    const HttpServerStatistics callers = m_callerServer.statistics();
     MetricFamilies families;
     const auto counter = [&families](std::string_view name, std::string_view help,
                                      std::uint64_t value) {
@@ -124,8 +125,7 @@
     addGauge(families, "arbutusgrade_ready", "1 if the node takes requests", isReady() ? 1.0 : 0.0);
     counter("arbutusgrade_connections_closed_unread_total",
             "Idle connections of callers closed with bytes that were not read",
-            m_callerServer.statistics().m_closedWithUnreadBytes);
-    const HttpServerStatistics callers = m_callerServer.statistics();
+            callers.m_closedWithUnreadBytes);
     counter("arbutusgrade_requests_rejected_total",
             "Requests of callers that were malformed, too large or too slow to arrive",
             callers.m_rejectedRequests);
--- a/libs/telemetry/include/telemetry/telemetry.h
+++ b/libs/telemetry/include/telemetry/telemetry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <initializer_list>
 #include <memory>
 #include <optional>
@@ -60,6 +61,9 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
+//! @brief Writes the event "handler-exception": an exception ended a handler, and the others go on.
+void logHandlerException(Log &log, const std::exception &error);
+
 //! @brief Name and value of a metric label.
 using MetricLabels = std::initializer_list<std::pair<std::string_view, std::string_view>>;
 using MetricFamilies = std::vector<prometheus::MetricFamily>;
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -135,4 +135,11 @@
     m_implementation->m_logger.forcedLog(native, boost::json::serialize(line));
 }
 
+void logHandlerException(Log &log, const std::exception &error)
+{
+    log.write(LogLevel::Error, "handler-exception",
+              "a handler ended with an exception; the others go on. Report this line",
+              {{"exception", error.what()}});
+}
+
 } // namespace arbutusgrade
--- a/tools/arbutusgrade-gateway/main.cpp
+++ b/tools/arbutusgrade-gateway/main.cpp
@@ -143,9 +143,7 @@
         return exitFailure;
     }
     arbutusgrade::runContext(context, [&log](const std::exception &error) {
-        log.write(arbutusgrade::LogLevel::Error, "handler-exception",
-                  "a handler ended with an exception; the others go on. Report this line",
-                  {{"exception", error.what()}});
+        arbutusgrade::logHandlerException(log, error);
     });
     log.write(arbutusgrade::LogLevel::Info, "stopped", "");
     log.flush();
--- a/tools/arbutusgraded/main.cpp
+++ b/tools/arbutusgraded/main.cpp
@@ -124,9 +124,7 @@
         return exitFailure;
     }
     arbutusgrade::runContext(context, [&log](const std::exception &error) {
-        log.write(arbutusgrade::LogLevel::Error, "handler-exception",
-                  "a handler ended with an exception; the others go on. Report this line",
-                  {{"exception", error.what()}});
+        arbutusgrade::logHandlerException(log, error);
     });
     return 0;
 }
